--- /dev/null
+++ b/cmd/wisteriafold/main.go
@@ -0,0 +1,4 @@
+// Command wisteriafold is the operator's tool.
+package main
+
+func main() {}
