Links: yamux sessions between daemons

Cause: daemons need one way to carry calls and control messages that tells the truth about what was sent, and that replaces a connection gone silent. Conclusion: tests in virtual time over net.Pipe cover silence, slow handlers, unreachable peers, cancellation, graceful close, refusal, control loss and idle sessions.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,412 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"wisteriafold/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bubble runs f in virtual time. yamux keeps timers in a pool of the process,
+// and a timer must not go from one bubble to the next: two collections empty it.
+func bubble(t *testing.T, f func(*testing.T)) {
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+// network joins links by net.Pipe, and can swallow the bytes of connections.
+type network struct {
+	mu    sync.Mutex
+	links map[string]*Links
+	pipes []*pipe
+	down  map[string]bool // dials to these addresses hang
+}
+
+// pipe is one end of a connection; when swallow is set, what is written to it
+// is lost without an error.
+type pipe struct {
+	net.Conn
+	swallow *atomic.Bool
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.swallow.Load() {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+// Close of a swallowing connection is not noticed by the other end.
+func (p *pipe) Close() error {
+	if p.swallow.Load() {
+		return p.SetDeadline(time.Unix(1, 0))
+	}
+	return p.Conn.Close()
+}
+
+func newNetwork() *network {
+	return &network{links: make(map[string]*Links), down: make(map[string]bool)}
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, down := n.links[address], n.down[address]
+	n.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	swallow := new(atomic.Bool)
+	pa, pb := &pipe{a, swallow}, &pipe{b, swallow}
+	n.mu.Lock()
+	n.pipes = append(n.pipes, pa)
+	n.mu.Unlock()
+	l.accept(pb)
+	return pa, nil
+}
+
+// silence makes all connections that there are now swallow their bytes.
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.pipes {
+		p.swallow.Store(true)
+	}
+}
+
+func (n *network) add(t *testing.T, address string, h Handler, change func(*Config)) *Links {
+	cfg := Defaults()
+	cfg.Hello = &wire.Hello{Instance: address, Incarnation: 1}
+	cfg.Dial = n.dial
+	if change != nil {
+		change(&cfg)
+	}
+	l, err := New(cfg, h)
+	require.NoError(t, err)
+	n.mu.Lock()
+	n.links[address] = l
+	n.mu.Unlock()
+	return l
+}
+
+// echo answers each call with its own chunks, once hold is closed.
+type echo struct {
+	hold      chan struct{}
+	cancelled atomic.Int32
+	control   atomic.Int32
+}
+
+func (e *echo) ReceiveControl(string, *wire.Control) { e.control.Add(1) }
+
+func (e *echo) ServeCall(ctx context.Context, s *Stream, _ *wire.Frame) {
+	if e.hold != nil {
+		select {
+		case <-e.hold:
+		case <-ctx.Done():
+			e.cancelled.Add(1)
+			return
+		}
+	}
+	out := []*wire.Frame{{Kind: &wire.Frame_Answer{Answer: &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_ANSWERED}}}}
+	for {
+		f, err := s.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return
+		}
+		out = append(out, f)
+	}
+	_ = s.Write(out...)
+}
+
+func head() *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Call{Call: &wire.CallHead{Service: "s"}}}
+}
+func end() *wire.Frame { return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}} }
+func chunk(s string) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: []byte(s)}}
+}
+
+// call sends one call and returns its answer and body.
+func call(ctx context.Context, l *Links, peer, body string) (*wire.AnswerHead, string, error) {
+	s, err := l.Open(ctx, peer)
+	if err != nil {
+		return nil, "", err
+	}
+	defer s.Close()
+	if err := s.Write(head(), chunk(body), end()); err != nil {
+		return nil, "", err
+	}
+	var answer *wire.AnswerHead
+	got := ""
+	for {
+		f, err := s.Read()
+		if errors.Is(err, io.EOF) {
+			return answer, got, nil
+		}
+		if err != nil {
+			return answer, got, err
+		}
+		if a := f.GetAnswer(); a != nil {
+			answer = a
+		}
+		got += string(f.GetChunk())
+	}
+}
+
+func closeAll(t *testing.T, links ...*Links) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, l := range links {
+		wg.Go(func() { assert.NoError(t, l.Close(ctx)) })
+	}
+	wg.Wait()
+}
+
+func TestCallsShareOneSession(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", &echo{}, nil)
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				answer, got, err := call(t.Context(), a, "b:1", "hello")
+				if assert.NoError(t, err) {
+					assert.Equal(t, wire.Outcome_OUTCOME_ANSWERED, answer.Outcome)
+					assert.Equal(t, "hello", got)
+				}
+			})
+		}
+		wg.Wait()
+		_, got, err := call(t.Context(), b, "a:1", "back")
+		require.NoError(t, err)
+		assert.Equal(t, "back", got)
+		assert.EqualValues(t, 1, a.Stats().Dials)
+		assert.EqualValues(t, 0, b.Stats().Dials, "the accepted session serves both directions")
+		closeAll(t, a, b)
+	})
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		inFlight := make(chan error, 1)
+		go func() {
+			_, _, err := call(t.Context(), a, "b:1", "x")
+			inFlight <- err
+		}()
+		synctest.Wait()
+		n.silence()
+		from := time.Now()
+		err := <-inFlight
+		assert.LessOrEqual(t, time.Since(from), 3*time.Second)
+		var broken *BrokenError
+		require.ErrorAs(t, err, &broken, "it was sent: it may have run")
+		assert.ErrorIs(t, err, ErrSilent)
+		assert.True(t, IsTransport(err))
+		close(held.hold)
+		_, got, err := call(t.Context(), a, "b:1", "fresh")
+		require.NoError(t, err)
+		assert.Equal(t, "fresh", got)
+		assert.EqualValues(t, 1, a.Stats().Silent)
+		closeAll(t, a, b)
+	})
+}
+
+func TestCallTimeoutOnSilentConnectionIsTransport(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", &echo{}, nil)
+		_, _, err := call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		n.silence()
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, _, err = call(ctx, a, "b:1", "x")
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.True(t, IsTransport(err), "nobody acknowledged the stream")
+		_, got, err := call(t.Context(), a, "b:1", "next")
+		require.NoError(t, err, "the next call takes a fresh dial at once")
+		assert.Equal(t, "next", got)
+		closeAll(t, a, b)
+	})
+}
+
+func TestSlowHandlerIsNotTransport(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		_, _, err := call(ctx, a, "b:1", "x")
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.False(t, IsTransport(err), "the backend server was slow, not the way to it")
+		synctest.Wait()
+		assert.EqualValues(t, 1, held.cancelled.Load(), "the deadline cancels the call on the other side")
+		assert.Zero(t, a.Stats().Suspected)
+		closeAll(t, a, b)
+	})
+}
+
+func TestUnreachablePeerKeepsSessionUntilDeadTimeout(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		inFlight := make(chan error, 1)
+		go func() {
+			_, _, err := call(t.Context(), a, "b:1", "x")
+			inFlight <- err
+		}()
+		synctest.Wait()
+		n.mu.Lock()
+		n.down["b:1"], n.down["a:1"] = true, true
+		n.mu.Unlock()
+		n.silence()
+		time.Sleep(4 * time.Second)
+		select {
+		case err := <-inFlight:
+			t.Fatalf("given up early: %v", err)
+		default:
+		}
+		_, _, err := call(t.Context(), a, "b:1", "x")
+		var notSent *NotSentError
+		assert.ErrorAs(t, err, &notSent)
+		assert.True(t, IsTransport(err))
+		assert.ErrorIs(t, <-inFlight, ErrSilent)
+		closeAll(t, a, b)
+	})
+}
+
+func TestCancellationReachesHandlerBeforeItReads(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		s, err := a.Open(t.Context(), "b:1")
+		require.NoError(t, err)
+		require.NoError(t, s.Write(head(), chunk("x")))
+		synctest.Wait()
+		require.NoError(t, s.Close())
+		synctest.Wait()
+		assert.EqualValues(t, 1, held.cancelled.Load())
+		closeAll(t, a, b)
+	})
+}
+
+func TestGracefulCloseCutsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		results := make(chan error, 20)
+		for range 20 {
+			go func() {
+				_, _, err := call(t.Context(), a, "b:1", "x")
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		closed := make(chan error, 1)
+		go func() { closed <- b.Close(t.Context()) }()
+		synctest.Wait()
+		_, _, err := call(t.Context(), a, "b:1", "late")
+		var notSent *NotSentError
+		assert.ErrorAs(t, err, &notSent, "a session that is being retired takes no call")
+		time.Sleep(time.Second)
+		close(held.hold)
+		for range 20 {
+			assert.NoError(t, <-results)
+		}
+		assert.NoError(t, <-closed)
+		closeAll(t, a)
+	})
+}
+
+func TestRefusedCallsSayNotRun(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, func(c *Config) { c.MaxStreams = 1 })
+		first := make(chan error, 1)
+		go func() {
+			_, _, err := call(t.Context(), a, "b:1", "x")
+			first <- err
+		}()
+		synctest.Wait()
+		answer, _, err := call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		assert.Equal(t, wire.Outcome_OUTCOME_NOT_RUN, answer.Outcome)
+		assert.Equal(t, "daemon-busy", answer.Reason)
+		b.Refuse()
+		answer, _, err = call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		assert.Equal(t, "shutting-down", answer.Reason)
+		close(held.hold)
+		assert.NoError(t, <-first)
+		closeAll(t, a, b)
+	})
+}
+
+func TestControlLossIsCounted(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		got := &echo{}
+		a, b := n.add(t, "a:1", &echo{}, func(c *Config) { c.ControlQueue = 4 }), n.add(t, "b:1", got, nil)
+		a.Send("b:1", &wire.Control{})
+		synctest.Wait()
+		assert.EqualValues(t, 1, got.control.Load())
+		n.mu.Lock()
+		n.down["c:1"] = true
+		n.mu.Unlock()
+		for range 10 {
+			a.Send("c:1", &wire.Control{})
+		}
+		time.Sleep(5 * time.Second)
+		s := a.Stats()
+		assert.EqualValues(t, 1, s.ControlSent)
+		assert.EqualValues(t, 10, s.ControlDropped)
+		closeAll(t, a, b)
+	})
+}
+
+func TestIdleSessionsAreRetired(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", &echo{}, nil)
+		_, _, err := call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		time.Sleep(Defaults().IdleTimeout + time.Second)
+		assert.Empty(t, a.Stats().Sessions)
+		assert.Empty(t, b.Stats().Sessions)
+		_, _, err = call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		closeAll(t, a, b)
+	})
+}
--- /dev/null
+++ b/link/serve.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"wisteriafold/request"
+	"wisteriafold/wire"
+)
+
+// busyRetryAfter is what a refused opener is told to wait, in milliseconds.
+const busyRetryAfter = 100
+
+// serve hands a stream that the peer has opened to the handler, or refuses it.
+func (l *Links) serve(s *session, y *yamux.Stream) {
+	if l.refuse.Load() {
+		l.refuseStream(y, request.ReasonShutdown)
+		return
+	}
+	if l.serving.Add(1) > int64(l.cfg.MaxStreams) {
+		l.serving.Add(-1)
+		l.refuseStream(y, request.ReasonBusy)
+		return
+	}
+	st := newIncoming(s, y)
+	l.wg.Add(1)
+	err := l.pool.Go(func() {
+		defer l.wg.Done()
+		defer l.serving.Add(-1)
+		defer st.Close() //nolint:errcheck // always nil
+		l.serveStream(st)
+	})
+	if err != nil {
+		l.wg.Done()
+		l.serving.Add(-1)
+		l.refuseStream(y, request.ReasonShutdown)
+		_ = st.Close()
+	}
+}
+
+func (l *Links) serveStream(st *Stream) {
+	_ = st.mux.SetReadDeadline(time.Now().Add(l.cfg.DialTimeout))
+	first, err := wire.Read(st.mux)
+	if err != nil {
+		return
+	}
+	_ = st.mux.SetReadDeadline(time.Time{})
+	l.count.served.Add(1)
+	l.wg.Add(1)
+	go st.readAheadLoop()
+	l.handler.ServeCall(st.ctx, st, first)
+}
+
+// refuseStream answers a stream "not run" without reading it.
+func (l *Links) refuseStream(y *yamux.Stream, reason request.Reason) {
+	l.count.streamsRefused.Add(1)
+	answer := &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(reason), RetryAfterMs: busyRetryAfter}
+	_ = writeFrames(y, []*wire.Frame{
+		{Kind: &wire.Frame_Answer{Answer: answer}},
+		{Kind: &wire.Frame_End{End: &wire.End{}}},
+	})
+	_ = y.Close()
+}
