service: endpoint choice, ejection and retry rules

Cause: a call needs an endpoint, and the load figures that endpoints report lag or mislead.

Change: a Picker keeps what calls showed of each endpoint of a rendezvous subset, compares two endpoints in each locality by expected cost, and moves load to a farther locality with a probability that grows with the advantage. A report can raise an expected wait, never lower it below what calls show. Failing endpoints are ejected up to a cap; a connection lost while a fresh dial works is not held against the backend server. Retries need a failure that is certain or an idempotent call, the daemon next to the refusal, the tree's allowance and this daemon's budget.

--- /dev/null
+++ b/service/service_test.go
@@ -0,0 +1,232 @@
+package service
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wisteriafold/request"
+)
+
+var (
+	start = time.Unix(0, 0)
+	here  = Location{Peer: "10.0.0.1:7000", DataCentre: "f1", Region: "fukuoka"}
+	call  = &request.Call{Importance: request.Normal, Idempotent: true}
+)
+
+func endpoints(dc, region string, n int) []Endpoint {
+	var all []Endpoint
+	for i := range n {
+		all = append(all, Endpoint{Peer: fmt.Sprintf("%s:%d", dc, i), DataCentre: dc, Region: region, Slots: 10})
+	}
+	return all
+}
+
+func newPicker(c Config, sets ...[]Endpoint) *Picker {
+	p := NewPicker(start, c, here, 1)
+	var all []Endpoint
+	for _, s := range sets {
+		all = append(all, s...)
+	}
+	p.SetEndpoints(all)
+	return p
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// picks counts the choices of n picks that are begun and not ended.
+func picks(t *testing.T, p *Picker, now time.Time, n int, c *request.Call) map[string]int {
+	t.Helper()
+	counts := map[string]int{}
+	r := rng()
+	for range n {
+		e, _, err := p.Pick(now, r, c, nil)
+		require.NoError(t, err)
+		p.Begin(e.Peer)
+		counts[e.DataCentre]++
+		counts[e.Peer]++
+	}
+	return counts
+}
+
+func TestLiarAttractsNoTraffic(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 4))
+	now, r := start, rng()
+	idle, busy := &Load{Limit: 10}, &Load{InFlight: 5, Limit: 10, Service: 20 * time.Millisecond}
+	sent := 0
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		e, _, err := p.Pick(now, r, call, nil)
+		require.NoError(t, err)
+		p.Begin(e.Peer)
+		o := Observation{Took: 20 * time.Millisecond, Report: busy}
+		if e.Peer == "f1:0" {
+			sent++
+			o = Observation{Took: 200 * time.Millisecond, Report: idle}
+		}
+		p.Observe(now, e.Peer, o)
+	}
+	require.Less(t, sent, 2000/4, "reports no load but answers ten times slower")
+}
+
+func TestFastFailureAttractsNoTraffic(t *testing.T) {
+	c := DefaultConfig()
+	c.EjectAfter = 0
+	p := newPicker(c, endpoints("f1", "fukuoka", 4))
+	now, r, sent := start, rng(), 0
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		e, _, _ := p.Pick(now, r, call, nil)
+		p.Begin(e.Peer)
+		o := Observation{Took: 20 * time.Millisecond}
+		if e.Peer == "f1:0" {
+			sent++
+			o = Observation{Result: Refused, Took: time.Microsecond}
+		}
+		p.Observe(now, e.Peer, o)
+	}
+	require.Less(t, sent, 2000/8)
+}
+
+func TestEjectionIsCappedAndEnds(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 4))
+	for i := range 4 {
+		for range 10 {
+			p.Observe(start, fmt.Sprintf("f1:%d", i), Observation{Result: Failed, Took: time.Millisecond})
+		}
+	}
+	_, d, err := p.Pick(start, rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, 3, d.Usable, "one of four may be ejected")
+	require.Equal(t, SkipEjected, d.Passed()[0].Skip)
+	_, d, _ = p.Pick(start.Add(2*time.Second), rng(), call, nil)
+	require.Equal(t, 4, d.Usable)
+}
+
+func TestReportAndLostConnectionNeverEject(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 2))
+	for range 50 {
+		p.Observe(start, "f1:0", Observation{Result: ConnectionLost, Took: time.Second})
+		p.Observe(start, "f1:0", Observation{Result: Abandoned, Report: &Load{Queued: 1000, InFlight: 10, Limit: 10, Level: 9}})
+	}
+	_, d, err := p.Pick(start.Add(2*time.Second), rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, 2, d.Usable)
+	require.Zero(t, p.view.Load().byPeer["f1:0"].loss.load())
+}
+
+func TestUnreachableIsPassedOverAndFailsOpen(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 2))
+	lose := func(peer string) {
+		for range maxUnreachable {
+			p.Observe(start, peer, Observation{Result: Unreachable})
+		}
+	}
+	lose("f1:0")
+	e, d, err := p.Pick(start, rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, "f1:1", e.Peer)
+	require.Equal(t, WhyOnly, d.Why)
+	lose("f1:1")
+	_, d, err = p.Pick(start, rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, WhyFailOpen, d.Why)
+}
+
+func TestDrainingTakesNothing(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 1))
+	p.Observe(start, "f1:0", Observation{Result: RefusedLeaving})
+	_, d, err := p.Pick(start, rng(), call, nil)
+	require.Equal(t, request.NotRun, request.AsError(err).Outcome)
+	require.Equal(t, SkipDraining, d.Passed()[0].Skip)
+	again := endpoints("f1", "fukuoka", 1)
+	again[0].Incarnation = 2
+	p.SetEndpoints(again)
+	_, _, err = p.Pick(start, rng(), call, nil)
+	require.NoError(t, err, "a replacement at the same address is another process")
+}
+
+func TestSpillIsGradualAndKeepsHeadroom(t *testing.T) {
+	c := DefaultConfig()
+	p := newPicker(c, endpoints("f1", "fukuoka", 1), endpoints("k1", "kumamoto", 1))
+	p.Observe(start, "k1:0", Observation{Report: &Load{Limit: 10}, Took: 60 * time.Millisecond})
+	light := picks(t, p, start, 10, call)
+	require.Equal(t, 10, light["f1"], "the link's latency outweighs a short queue")
+	heavy := picks(t, p, start, 200, call)
+	require.Positive(t, heavy["k1"])
+	require.LessOrEqual(t, heavy["k1"], 7, "the headroom of a normal call is 0.7 of 10")
+}
+
+func TestLargeBodyStaysInRegionUnlessNothingServes(t *testing.T) {
+	large := &request.Call{BodyBytes: 1 << 20}
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 1), endpoints("k1", "kumamoto", 1))
+	p.Observe(start, "k1:0", Observation{Report: &Load{Limit: 10}, Took: 60 * time.Millisecond})
+	require.Equal(t, 200, picks(t, p, start, 200, large)["f1"])
+	e, d, err := p.Pick(start, rng(), large, []string{"f1:0"})
+	require.NoError(t, err)
+	require.Equal(t, "k1:0", e.Peer)
+	require.Equal(t, WhyFarther, d.Why)
+}
+
+type emptyLink struct{}
+
+func (emptyLink) Take(string, int64) bool { return false }
+
+func TestLinkWithoutBytesStopsSpill(t *testing.T) {
+	p := newPicker(DefaultConfig(), endpoints("k1", "kumamoto", 1))
+	p.SetLink(emptyLink{})
+	_, d, err := p.Pick(start, rng(), call, nil)
+	require.Error(t, err)
+	require.Equal(t, SkipLinkBudget, d.Passed()[0].Skip)
+}
+
+func TestSubsetChangesByOne(t *testing.T) {
+	all := endpoints("f1", "fukuoka", 100)
+	before := subset(all, here.Peer, 1, 16)
+	after := subset(all[1:], here.Peer, 1, 16)
+	kept := map[string]bool{}
+	for _, e := range before {
+		kept[e.Peer] = true
+	}
+	fresh := 0
+	for _, e := range after {
+		if !kept[e.Peer] {
+			fresh++
+		}
+	}
+	require.LessOrEqual(t, fresh, 1)
+}
+
+func TestRetryRules(t *testing.T) {
+	notRun := request.Refuse(request.ReasonQueueFull, "")
+	lost := request.Lose(request.ReasonBroken, "", nil)
+	deposit := &request.Call{}
+	b := NewRetryBudget(0.1, 1)
+	require.Equal(t, RetryMayHaveRun, MayRetry(deposit, lost, true, 3, b))
+	require.Equal(t, RetryElsewhere, MayRetry(call, notRun, false, 3, b))
+	require.Equal(t, RetryPointless, MayRetry(call, request.Refuse(request.ReasonDeadline, ""), true, 3, b))
+	require.Equal(t, RetryAllowance, MayRetry(call, notRun, true, 0, b))
+	require.Equal(t, RetryAllowed, MayRetry(deposit, notRun, true, 3, b))
+	require.Equal(t, RetryBudgeted, MayRetry(call, lost, true, 3, b))
+	for range 10 {
+		b.Attempt()
+	}
+	require.Equal(t, RetryAllowed, MayRetry(call, lost, true, 3, b))
+}
+
+func BenchmarkPick(b *testing.B) {
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 16), endpoints("f2", "fukuoka", 8), endpoints("k1", "kumamoto", 8))
+	r := rng()
+	b.ReportAllocs()
+	for b.Loop() {
+		e, _, err := p.Pick(start, r, call, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Begin(e.Peer)
+		p.Observe(start, e.Peer, Observation{Took: 20 * time.Millisecond})
+	}
+}
