--- a/link/errors.go
+++ b/link/errors.go
@@ -17,8 +17,8 @@
 	// ErrBusy reports that too many streams are open on the session.
 	ErrBusy = errors.New("too many streams to this peer")
 
-	// ErrCut reports a stream that ended before its End frame.
-	ErrCut = errors.New("stream ended before End")
+	// ErrCut reports a stream that ended before its last frame.
+	ErrCut = errors.New("stream ended before its last frame")
 )
 
 // NotSentError reports that nothing of the call has left this process: it has
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -22,11 +22,16 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // bubble runs f in virtual time. yamux keeps timers in a pool of the process,
-// and a timer must not go from one bubble to the next: two collections empty it.
+// and a timer must not go from one bubble to another: two collections empty it.
 func bubble(t *testing.T, f func(*testing.T)) {
+	emptyPools()
+	synctest.Test(t, f)
+	emptyPools()
+}
+
+func emptyPools() {
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, f)
 }
 
 // network joins links by net.Pipe, and can swallow the bytes of connections.
@@ -117,7 +122,7 @@
 
 func (e *echo) ReceiveControl(string, *wire.Control) { e.control.Add(1) }
 
-func (e *echo) ServeCall(ctx context.Context, s *Stream, _ *wire.Frame) {
+func (e *echo) ServeCall(ctx context.Context, s *Stream, first *wire.Frame) {
 	if e.hold != nil {
 		select {
 		case <-e.hold:
@@ -126,7 +131,13 @@
 			return
 		}
 	}
-	out := []*wire.Frame{{Kind: &wire.Frame_Answer{Answer: &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_ANSWERED}}}}
+	if c := first.GetCall(); !c.BodyFollows {
+		small := &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_ANSWERED, Body: c.Body}
+		_ = s.Write(&wire.Frame{Kind: &wire.Frame_Answer{Answer: small}})
+		return
+	}
+	answer := &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_ANSWERED, BodyFollows: true}
+	out := []*wire.Frame{{Kind: &wire.Frame_Answer{Answer: answer}}}
 	for {
 		f, err := s.Read()
 		if errors.Is(err, io.EOF) {
@@ -141,8 +152,13 @@
 }
 
 func head() *wire.Frame {
-	return &wire.Frame{Kind: &wire.Frame_Call{Call: &wire.CallHead{Service: "s"}}}
+	return &wire.Frame{Kind: &wire.Frame_Call{Call: &wire.CallHead{Service: "s", BodyFollows: true}}}
 }
+
+func small(body string) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Call{Call: &wire.CallHead{Service: "s", Body: []byte(body)}}}
+}
+
 func end() *wire.Frame { return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}} }
 func chunk(s string) *wire.Frame {
 	return &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: []byte(s)}}
@@ -150,12 +166,16 @@
 
 // call sends one call and returns its answer and body.
 func call(ctx context.Context, l *Links, peer, body string) (*wire.AnswerHead, string, error) {
+	return exchange(ctx, l, peer, head(), chunk(body), end())
+}
+
+func exchange(ctx context.Context, l *Links, peer string, frames ...*wire.Frame) (*wire.AnswerHead, string, error) {
 	s, err := l.Open(ctx, peer)
 	if err != nil {
 		return nil, "", err
 	}
 	defer s.Close()
-	if err := s.Write(head(), chunk(body), end()); err != nil {
+	if err := s.Write(frames...); err != nil {
 		return nil, "", err
 	}
 	var answer *wire.AnswerHead
@@ -170,13 +190,14 @@
 		}
 		if a := f.GetAnswer(); a != nil {
 			answer = a
+			got = string(a.Body)
 		}
 		got += string(f.GetChunk())
 	}
 }
 
 func closeAll(t *testing.T, links ...*Links) {
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, l := range links {
--- a/link/serve.go
+++ b/link/serve.go
@@ -48,7 +48,8 @@
 	_ = st.mux.SetReadDeadline(time.Time{})
 	l.count.served.Add(1)
 	l.wg.Add(1)
-	go st.readAheadLoop()
+	st.ended = isLast(first)
+	go st.readAheadLoop(st.ended)
 	l.handler.ServeCall(st.ctx, st, first)
 }
 
@@ -56,9 +57,6 @@
 func (l *Links) refuseStream(y *yamux.Stream, reason request.Reason) {
 	l.count.streamsRefused.Add(1)
 	answer := &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(reason), RetryAfterMs: busyRetryAfter}
-	_ = writeFrames(y, []*wire.Frame{
-		{Kind: &wire.Frame_Answer{Answer: answer}},
-		{Kind: &wire.Frame_End{End: &wire.End{}}},
-	})
+	_ = wire.Write(y, &wire.Frame{Kind: &wire.Frame_Answer{Answer: answer}})
 	_ = y.Close()
 }
--- a/link/stream.go
+++ b/link/stream.go
@@ -18,7 +18,7 @@
 const readAhead = 8
 
 // Stream carries one call and its answer as frames. Each direction ends with
-// an End frame. One goroutine may read and another one write at the same time.
+// its head when no body follows, and with an End frame otherwise. One goroutine may read and another one write at the same time.
 type Stream struct {
 	session *session
 	mux     *yamux.Stream
@@ -26,7 +26,7 @@
 	cancel  context.CancelCauseFunc // nil on the opener's side
 	stop    func() bool             // ends the watch on the opener's context
 	openAt  int64                   // nanoseconds since links.base
-	ended   bool                    // End has been read
+	ended   bool                    // the last frame of the other side has been read
 	frames  chan *wire.Frame        // read ahead, on the server's side
 	readErr error                   // why frames was closed
 	once    sync.Once
@@ -102,7 +102,21 @@
 
 var joined = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// Read returns the next frame. After the End frame it returns io.EOF, and
+// isLast reports whether f is the last frame of its direction.
+func isLast(f *wire.Frame) bool {
+	switch k := f.Kind.(type) {
+	case *wire.Frame_End:
+		return true
+	case *wire.Frame_Call:
+		return !k.Call.BodyFollows
+	case *wire.Frame_Answer:
+		return !k.Answer.BodyFollows
+	default:
+		return false
+	}
+}
+
+// Read returns the next frame. After the last frame it returns io.EOF, and
 // BrokenError when the stream ends before it.
 func (st *Stream) Read() (*wire.Frame, error) {
 	if st.ended {
@@ -112,7 +126,7 @@
 	if err != nil {
 		return nil, st.fault(err)
 	}
-	st.ended = f.GetEnd() != nil
+	st.ended = isLast(f)
 	return f, nil
 }
 
@@ -127,11 +141,11 @@
 	return f, nil
 }
 
-// readAheadLoop reads the opener's frames until End, and then waits for the
+// readAheadLoop reads the opener's frames until the last, and then waits for the
 // opener to close the stream.
-func (st *Stream) readAheadLoop() {
+func (st *Stream) readAheadLoop(ended bool) {
 	defer st.session.links.wg.Done()
-	for ended := false; ; {
+	for {
 		f, err := wire.Read(st.mux)
 		if err == nil && ended {
 			err = errAfterEnd
@@ -146,7 +160,7 @@
 			st.hangUp(st.ctx.Err())
 			return
 		}
-		ended = f.GetEnd() != nil
+		ended = isLast(f)
 	}
 }
 
@@ -177,7 +191,7 @@
 }
 
 // Close ends the stream in both directions. On the opener's side, before the
-// answer's End, it cancels the call: the context of ServeCall ends.
+// answer's last frame, it cancels the call: the context of ServeCall ends.
 func (st *Stream) Close() error {
 	if st.stop != nil {
 		st.stop()
