--- /dev/null
+++ b/datacentre/registry.go
@@ -0,0 +1,396 @@
+package datacentre
+
+import (
+	"maps"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriafold/wire"
+)
+
+// registry is what this daemon holds as a registrar of one service.
+type registry struct {
+	service string
+	epoch   uint64 // drawn when the service was taken on, part of each list's identity
+	since   time.Time
+	usedAt  time.Time
+	version uint64
+	entries map[string]*entry // by peer
+	past    past
+	log     []logged // changes, in the order of their versions
+	subs    map[string]*subscriber
+
+	urgent   bool      // a change waits that must not be collected with others
+	nextPush time.Time // when changes that are not urgent go out
+}
+
+// entry is one endpoint that a registrar holds.
+type entry struct {
+	state     *wire.EndpointState
+	hash      uint64
+	remote    bool      // learned from another data centre
+	expiresAt time.Time // of a local entry
+}
+
+// logged is one change of an endpoint.
+type logged struct {
+	version uint64
+	peer    string
+}
+
+// subscriber is one daemon that is told of changes.
+type subscriber struct {
+	local     bool
+	acked     uint64 // version that it has, 0 for none
+	sent      uint64 // version that was sent last
+	levels    levels // of the list that it has
+	tries     int
+	resendAt  time.Time
+	expiresAt time.Time
+}
+
+// levels are the numbers of times that the endpoints are halved for a
+// subscriber, so that long lists are cut to about MaxLocal or MaxRemote.
+type levels struct{ local, remote int }
+
+// past remembers incarnations that have been superseded at an address.
+type past map[string][]uint64
+
+func (p past) has(peer string, incarnation uint64) bool {
+	return slices.Contains(p[peer], incarnation)
+}
+
+func (p past) add(peer string, incarnation uint64) {
+	list := append(p[peer], incarnation)
+	p[peer] = list[max(0, len(list)-pastKept):]
+}
+
+// newer reports whether s replaces old, and notes what it supersedes.
+func (p past) newer(old, s *wire.EndpointState) bool {
+	if p.has(s.Peer, s.Incarnation) {
+		return false
+	}
+	if old == nil {
+		return true
+	}
+	if old.Incarnation != s.Incarnation {
+		p.add(s.Peer, old.Incarnation)
+		return true
+	}
+	return s.Revision > old.Revision
+}
+
+// registry returns what this daemon holds for the service, from now on.
+func (d *Directory) registry(now time.Time, name string) *registry {
+	r := d.services[name]
+	if r == nil {
+		r = &registry{
+			service: name, epoch: d.rng.Uint64() | 1, since: now, version: 1,
+			entries: make(map[string]*entry), past: make(past), subs: make(map[string]*subscriber),
+		}
+		d.services[name] = r
+	}
+	r.usedAt = now
+	return r
+}
+
+func (r *registry) forgive(gap time.Duration) {
+	for _, e := range r.entries {
+		e.expiresAt = e.expiresAt.Add(gap)
+	}
+	for _, s := range r.subs {
+		s.expiresAt = s.expiresAt.Add(gap)
+	}
+}
+
+// warming reports whether endpoints may not have announced themselves here yet.
+func (r *registry) warming(d *Directory, now time.Time) bool {
+	return now.Sub(r.since) < d.cfg.HeartbeatMax+d.cfg.ReplyTimeout
+}
+
+// put takes an endpoint's state, and reports whether it was new.
+func (r *registry) put(s *wire.EndpointState, remote bool) (*entry, bool) {
+	e := r.entries[s.Peer]
+	var old *wire.EndpointState
+	if e != nil {
+		old = e.state
+	}
+	if !r.past.newer(old, s) {
+		return e, false
+	}
+	if e == nil {
+		e = &entry{hash: xxhash.Sum64String(s.Peer)}
+		r.entries[s.Peer] = e
+	}
+	e.state, e.remote = s, remote
+	r.urgent = r.urgent || s.Draining
+	r.changed(s.Peer)
+	return e, true
+}
+
+func (r *registry) changed(peer string) {
+	r.version++
+	r.log = append(r.log, logged{r.version, peer})
+	r.log = r.log[max(0, len(r.log)-changesKept):]
+}
+
+func (r *registry) drop(peer string) {
+	delete(r.entries, peer)
+	r.changed(peer)
+}
+
+// receiveAnnounce takes an announcement or heartbeat of an endpoint.
+func (d *Directory) receiveAnnounce(now time.Time, from string, m *wire.Announce) {
+	r := d.registry(now, m.Service)
+	e := r.entries[from]
+	if s := m.Endpoint; s != nil && s.Peer == from && s.Service == m.Service {
+		e, _ = r.put(s, false)
+	}
+	ack := &wire.AnnounceAck{Service: m.Service, Incarnation: m.Incarnation}
+	interval := spread(len(r.entries), d.cfg.HeartbeatsPerSecond, d.cfg.HeartbeatEvery, d.cfg.HeartbeatMax)
+	ack.IntervalMs = uint32(interval.Milliseconds())
+	if e != nil && !e.remote && e.state.Incarnation == m.Incarnation {
+		ack.Revision = e.state.Revision
+		e.expiresAt = now.Add(time.Duration(d.cfg.MissedHeartbeats * float64(interval)))
+	}
+	d.send(from, &wire.Member{Kind: &wire.Member_AnnounceAck{AnnounceAck: ack}})
+	if r.urgent {
+		d.push(now, r)
+	}
+}
+
+// spread returns the interval at which n senders send at most perSecond in
+// all, between least and most.
+func spread(n int, perSecond float64, least, most time.Duration) time.Duration {
+	return min(most, max(least, time.Duration(float64(n)/perSecond*float64(time.Second))))
+}
+
+// receiveSubscribe takes a subscription, its renewal or an acknowledgement.
+func (d *Directory) receiveSubscribe(now time.Time, from string, m *wire.Subscribe) {
+	if m.Cancel {
+		if r := d.services[m.Service]; r != nil {
+			delete(r.subs, from)
+		}
+		return
+	}
+	r := d.registry(now, m.Service)
+	s := r.subs[from]
+	if s == nil || s.local != m.Local {
+		s = &subscriber{local: m.Local}
+		r.subs[from] = s
+	}
+	renew := r.renewEvery(d)
+	s.expiresAt = now.Add(3 * renew)
+	s.acked = 0
+	if m.Epoch == r.epoch {
+		s.acked = m.Version
+	}
+	if s.acked == r.version {
+		s.tries = 0
+		s.resendAt = time.Time{}
+		if m.Ack {
+			return
+		}
+		d.sendList(now, r, from, s, s.levels) // nothing new: confirms the renewal
+		return
+	}
+	if !m.Ack {
+		s.resendAt = now
+	}
+	d.push(now, r)
+}
+
+func (r *registry) renewEvery(d *Directory) time.Duration {
+	return spread(len(r.subs), d.cfg.RenewalsPerSecond, d.cfg.RenewEvery, d.cfg.RenewMax)
+}
+
+// push sends to each subscriber what it does not have, again while it does not
+// acknowledge it. Changes that are not urgent are collected for a while when
+// there are many subscribers.
+func (d *Directory) push(now time.Time, r *registry) {
+	open := r.urgent || !now.Before(r.nextPush)
+	due := func(s *subscriber) bool {
+		switch s.sent {
+		case r.version:
+			return !now.Before(s.resendAt)
+		case 0:
+			return true
+		default:
+			return open
+		}
+	}
+	var to []string
+	for address, s := range r.subs {
+		if s.acked != r.version && due(s) {
+			to = append(to, address)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	if open {
+		r.urgent = false
+		r.nextPush = now.Add(spread(len(r.subs), d.cfg.PushesPerSecond, 0, d.cfg.PushMax))
+	}
+	slices.Sort(to)
+	lv := [2]levels{r.levels(d, false), r.levels(d, true)}
+	for _, address := range to {
+		s := r.subs[address]
+		if s.sent != r.version {
+			s.tries = 0
+		}
+		l := lv[0]
+		if s.local {
+			l = lv[1]
+		}
+		d.sendList(now, r, address, s, l)
+		s.resendAt = now.Add(d.cfg.RetryEvery << min(s.tries, 4))
+		s.tries++
+	}
+}
+
+// sortedNames returns the keys of m in a fixed order.
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// sendList sends the changes after the version that the subscriber has, or the
+// whole list when they are not known any more.
+func (d *Directory) sendList(now time.Time, r *registry, to string, s *subscriber, lv levels) {
+	m := &wire.EndpointList{
+		Service: r.service, DataCentre: d.cfg.DataCentre, Epoch: r.epoch, Base: s.acked, Version: r.version,
+		Warming: r.warming(d, now), RenewMs: uint32(r.renewEvery(d).Milliseconds()),
+	}
+	whole := s.acked == 0 || lv != s.levels || (s.acked < r.version && (len(r.log) == 0 || r.log[0].version > s.acked+1))
+	if whole {
+		m.Base = 0
+		for _, peer := range sortedNames(r.entries) {
+			if e := r.entries[peer]; r.wanted(e, to, s.local, lv) {
+				m.Endpoints = append(m.Endpoints, e.state)
+			}
+		}
+	} else {
+		r.addChanges(m, to, s, lv)
+	}
+	s.sent, s.levels = r.version, lv
+	d.count.ListsSent++
+	d.send(to, &wire.Member{Kind: &wire.Member_EndpointList{EndpointList: m}})
+}
+
+func (r *registry) addChanges(m *wire.EndpointList, to string, s *subscriber, lv levels) {
+	seen := make(map[string]bool)
+	for _, c := range slices.Backward(r.log) {
+		if c.version <= s.acked {
+			break
+		}
+		if seen[c.peer] {
+			continue
+		}
+		seen[c.peer] = true
+		if e := r.entries[c.peer]; e == nil {
+			m.Removed = append(m.Removed, c.peer)
+		} else if r.wanted(e, to, s.local, lv) {
+			m.Endpoints = append(m.Endpoints, e.state)
+		}
+	}
+}
+
+// levels returns how often the lists are halved for subscribers.
+func (r *registry) levels(d *Directory, local bool) levels {
+	n := 0
+	for _, e := range r.entries {
+		if !e.remote {
+			n++
+		}
+	}
+	most := d.cfg.MaxLocal
+	if local {
+		most = d.cfg.MaxRemote
+	}
+	return levels{local: halvings(n, most), remote: halvings(len(r.entries)-n, d.cfg.MaxLocal)}
+}
+
+// halvings returns how often n must be halved to be at most most.
+func halvings(n, most int) int {
+	if n <= most {
+		return 0
+	}
+	return bits.Len(uint((n - 1) / most))
+}
+
+// wanted reports whether the endpoint is on the subscriber's list. Endpoints
+// that leave are always told, since the subscriber may know of them from
+// another registrar.
+func (r *registry) wanted(e *entry, to string, local bool, lv levels) bool {
+	if local && e.remote {
+		return false
+	}
+	if e.state.Draining {
+		return true
+	}
+	n := lv.local
+	if e.remote {
+		n = lv.remote
+	}
+	if n == 0 {
+		return true
+	}
+	return mix(e.hash^xxhash.Sum64String(to)) <= math.MaxUint64>>n
+}
+
+func (d *Directory) tickRegistries(now time.Time) {
+	for _, name := range sortedNames(d.services) {
+		r := d.services[name]
+		for _, peer := range r.expired(now) {
+			d.count.Expired++
+			r.drop(peer)
+		}
+		for to, s := range r.subs {
+			if now.After(s.expiresAt) {
+				delete(r.subs, to)
+			}
+		}
+		if len(r.entries) > 0 {
+			d.watch(now, watchKey{name, d.cfg.DataCentre}).usedAt = now
+		}
+		d.watchElsewhere(now, r)
+		d.push(now, r)
+		if len(r.entries) > 0 || len(r.subs) > 0 {
+			r.usedAt = now
+		}
+		if now.Sub(r.usedAt) > idleAfter {
+			delete(d.services, name)
+		}
+	}
+}
+
+// expired returns the local endpoints whose heartbeats have stopped, in order.
+func (r *registry) expired(now time.Time) []string {
+	var out []string
+	for peer, e := range r.entries {
+		if !e.remote && now.After(e.expiresAt) {
+			out = append(out, peer)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// watchElsewhere subscribes to the registrars of other data centres while this
+// one has subscribers of its own.
+func (d *Directory) watchElsewhere(now time.Time, r *registry) {
+	near := false
+	for _, s := range r.subs {
+		near = near || !s.local
+	}
+	if !near {
+		return
+	}
+	for _, name := range d.dataCentres() {
+		if name != d.cfg.DataCentre {
+			d.watch(now, watchKey{r.service, name}).usedAt = now
+		}
+	}
+}
--- /dev/null
+++ b/datacentre/watch.go
@@ -0,0 +1,289 @@
+package datacentre
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriafold/wire"
+)
+
+// watchKey names a subscription: a service in this data centre, or the
+// endpoints that another data centre has of it.
+type watchKey struct{ service, dataCentre string }
+
+// watch merges what the registrars of one data centre hold of a service.
+type watch struct {
+	key    watchKey
+	wanted bool             // by this daemon's traffic, not only by its registry
+	views  map[string]*view // by registrar
+	past   past
+	merged map[string]*wire.EndpointState // what is in force
+	usedAt time.Time
+	lostAt time.Time // since when no registrar answers, zero while one does
+}
+
+// view is the list of one registrar.
+type view struct {
+	epoch, version uint64
+	warming        bool
+	states         map[string]*wire.EndpointState
+	heardAt        time.Time
+	next           time.Time // renewal
+	renew          time.Duration
+	tries          int
+}
+
+// fresh reports whether the registrar still answers.
+func (d *Directory) fresh(now time.Time, registrar string, v *view) bool {
+	return d.alive(now, registrar) && now.Sub(v.heardAt) < 3*v.renew
+}
+
+// Subscribe keeps the endpoints of the service in the snapshot from now on.
+func (d *Directory) Subscribe(now time.Time, service string) {
+	w := d.watch(now, watchKey{service, d.cfg.DataCentre})
+	if w.wanted {
+		return
+	}
+	w.wanted = true
+	d.dirty = true
+	d.tickWatches(now)
+	d.settle(now)
+}
+
+// Unsubscribe takes the service out of the snapshot.
+func (d *Directory) Unsubscribe(now time.Time, service string) {
+	if w := d.watches[watchKey{service, d.cfg.DataCentre}]; w != nil {
+		w.wanted = false
+		w.usedAt = now
+		d.dirty = true
+	}
+	d.settle(now)
+}
+
+func (d *Directory) watch(now time.Time, key watchKey) *watch {
+	w := d.watches[key]
+	if w == nil {
+		w = &watch{
+			key: key, views: make(map[string]*view), past: make(past),
+			merged: make(map[string]*wire.EndpointState), usedAt: now,
+		}
+		d.watches[key] = w
+		d.dirty = true
+	}
+	return w
+}
+
+func (d *Directory) endWatch(key watchKey) {
+	w := d.watches[key]
+	if w == nil {
+		return
+	}
+	for _, to := range sortedNames(w.views) {
+		m := &wire.Subscribe{Service: key.service, Cancel: true}
+		d.send(to, &wire.Member{Kind: &wire.Member_Subscribe{Subscribe: m}})
+	}
+	delete(d.watches, key)
+	d.dirty = true
+}
+
+func (w *watch) forgive(gap time.Duration) {
+	for _, v := range w.views {
+		v.heardAt = v.heardAt.Add(gap)
+	}
+}
+
+// elsewhere reports whether the watch is of another data centre.
+func (w *watch) elsewhere(d *Directory) bool { return w.key.dataCentre != d.cfg.DataCentre }
+
+func (d *Directory) tickWatches(now time.Time) {
+	keys := make([]watchKey, 0, len(d.watches))
+	for key := range d.watches {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b watchKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.dataCentre, b.dataCentre))
+	})
+	for _, key := range keys {
+		w := d.watches[key]
+		if !w.wanted && now.Sub(w.usedAt) > idleAfter {
+			d.endWatch(key)
+			if w.elsewhere(d) {
+				d.mergeElsewhere(now, w, nil)
+			}
+			continue
+		}
+		d.renewViews(now, w)
+		d.dropViews(now, w)
+	}
+}
+
+// renewViews subscribes to the registrars that this watch needs.
+func (d *Directory) renewViews(now time.Time, w *watch) {
+	n := registrars
+	if w.elsewhere(d) {
+		n = 1
+	}
+	for _, to := range d.choose(now, d.rank(w.key.dataCentre, registrarRole(w.key.service)), n) {
+		v := w.views[to]
+		if v == nil {
+			v = &view{states: make(map[string]*wire.EndpointState), heardAt: now, renew: d.cfg.RenewEvery}
+			w.views[to] = v
+		}
+		if !now.Before(v.next) {
+			v.next = now.Add(d.cfg.RetryEvery << min(v.tries, 4))
+			v.tries++
+			d.ask(now, to)
+			d.subscribe(w, to, v, false)
+		}
+	}
+}
+
+func (d *Directory) subscribe(w *watch, to string, v *view, ack bool) {
+	m := &wire.Subscribe{Service: w.key.service, Local: w.elsewhere(d), Epoch: v.epoch, Version: v.version, Ack: ack}
+	d.send(to, &wire.Member{Kind: &wire.Member_Subscribe{Subscribe: m}})
+}
+
+// receiveList takes a registrar's list.
+func (d *Directory) receiveList(now time.Time, from string, m *wire.EndpointList) {
+	w := d.watches[watchKey{m.Service, m.DataCentre}]
+	if w == nil || w.views[from] == nil {
+		return
+	}
+	v := w.views[from]
+	v.heardAt = now
+	v.tries = 0
+	v.renew = max(time.Duration(m.RenewMs)*time.Millisecond, d.cfg.RetryEvery)
+	v.next = now.Add(d.jitter(v.renew))
+	switch {
+	case m.Base == 0:
+		v.states = make(map[string]*wire.EndpointState, len(m.Endpoints))
+	case m.Epoch != v.epoch || m.Base > v.version:
+		v.epoch, v.version = 0, 0
+		d.subscribe(w, from, v, false)
+		return
+	case m.Version < v.version:
+		return // a late one
+	}
+	changed := m.Base == 0 || m.Version != v.version || v.warming != m.Warming
+	v.epoch, v.version, v.warming = m.Epoch, m.Version, m.Warming
+	for _, s := range m.Endpoints {
+		v.states[s.Peer] = s
+	}
+	for _, peer := range m.Removed {
+		delete(v.states, peer)
+	}
+	if changed {
+		d.subscribe(w, from, v, true)
+		d.merge(now, w, m.Endpoints)
+	}
+}
+
+// dropViews forgets registrars that have not answered for long, once another
+// one is known to hold everything.
+func (d *Directory) dropViews(now time.Time, w *watch) {
+	whole, fresh := false, false
+	for from, v := range w.views {
+		ok := d.fresh(now, from, v)
+		fresh = fresh || ok
+		whole = whole || (ok && v.epoch != 0 && !v.warming)
+	}
+	if fresh {
+		w.lostAt = time.Time{}
+	} else if w.lostAt.IsZero() {
+		w.lostAt = now
+	}
+	lost := w.elsewhere(d) && !w.lostAt.IsZero() && now.Sub(w.lostAt) > d.cfg.RemoteExpiry
+	dropped := false
+	for from, v := range w.views {
+		if !d.fresh(now, from, v) && (whole || lost) {
+			dropped = dropped || len(v.states) > 0
+			delete(w.views, from)
+		}
+	}
+	if dropped {
+		d.merge(now, w, nil)
+	}
+}
+
+// merge works out what is in force after a change: of each endpoint the newest
+// state that any registrar holds. An endpoint that only a warming registrar's
+// list lacks is kept.
+func (d *Directory) merge(now time.Time, w *watch, news []*wire.EndpointState) {
+	for _, s := range news {
+		if w.past.newer(w.merged[s.Peer], s) {
+			w.merged[s.Peer] = s
+		}
+	}
+	held := make(map[string]bool)
+	for _, v := range w.views {
+		for peer, s := range v.states {
+			held[peer] = true
+			if w.merged[peer] == nil && w.past.newer(nil, s) {
+				w.merged[peer] = s
+			}
+		}
+	}
+	if w.certain() {
+		for peer := range w.merged {
+			if !held[peer] {
+				delete(w.merged, peer)
+			}
+		}
+	}
+	d.dirty = true
+	if w.elsewhere(d) {
+		d.mergeElsewhere(now, w, w.merged)
+	} else {
+		d.adopt(now, w, news)
+	}
+}
+
+// adopt takes what another registrar of this data centre has heard and this
+// one has not: a daemon may reach only one of the two.
+func (d *Directory) adopt(now time.Time, w *watch, news []*wire.EndpointState) {
+	r := d.services[w.key.service]
+	if r == nil {
+		return
+	}
+	for _, s := range news {
+		if e := r.entries[s.Peer]; e != nil && !e.remote && s.DataCentre == d.cfg.DataCentre {
+			r.put(s, false)
+		}
+	}
+	if r.urgent {
+		d.push(now, r)
+	}
+}
+
+// certain reports whether a registrar that has heard of everything is among
+// the views, so that what none of them holds is gone.
+func (w *watch) certain() bool {
+	if len(w.views) == 0 {
+		return true
+	}
+	for _, v := range w.views {
+		if v.epoch != 0 && !v.warming {
+			return true
+		}
+	}
+	return false
+}
+
+// mergeElsewhere puts another data centre's endpoints into the registry.
+func (d *Directory) mergeElsewhere(now time.Time, w *watch, states map[string]*wire.EndpointState) {
+	r := d.services[w.key.service]
+	if r == nil {
+		return
+	}
+	for _, peer := range sortedNames(states) {
+		r.put(states[peer], true)
+	}
+	for _, peer := range sortedNames(r.entries) {
+		e := r.entries[peer]
+		if e.remote && e.state.DataCentre == w.key.dataCentre && states[peer] == nil {
+			r.drop(peer)
+		}
+	}
+	d.push(now, r)
+}
