Members: both registrars of another data centre are watched

Change: registrars watch both registrars of each other data centre, with a longer renewal interval (RenewFarEvery, 20 s) to pay for it.

--- a/datacentre/config.go
+++ b/datacentre/config.go
@@ -51,10 +51,12 @@
 	// RetryEvery is the time after which an unacknowledged change is sent again.
 	RetryEvery time.Duration
 
-	// RenewEvery is the time between two renewals of a subscription, and
+	// RenewEvery is the time between two renewals of a subscription,
+	// RenewFarEvery that for subscribers in other data centres, and
 	// RenewalsPerSecond bounds what a registrar asks for in all for one
 	// service; above it the interval grows, up to RenewMax.
 	RenewEvery        time.Duration
+	RenewFarEvery     time.Duration
 	RenewalsPerSecond float64
 	RenewMax          time.Duration
 
@@ -99,6 +101,7 @@
 		MissedHeartbeats:    3.5,
 		RetryEvery:          250 * time.Millisecond,
 		RenewEvery:          5 * time.Second,
+		RenewFarEvery:       20 * time.Second,
 		RenewalsPerSecond:   8,
 		RenewMax:            time.Minute,
 		PushesPerSecond:     100,
--- a/datacentre/doc.go
+++ b/datacentre/doc.go
@@ -30,7 +30,7 @@
 // they are acknowledged. Leaving is a change like any other, with a higher
 // revision: it wins over what a second registrar still believes.
 //
-// A registrar that has subscribers also subscribes to one registrar in each
+// A registrar that has subscribers also subscribes to the registrars in each
 // other data centre, for a bounded number of that data centre's endpoints.
 //
 // Losing information never empties a list: a registrar that has just taken a
--- a/datacentre/registry.go
+++ b/datacentre/registry.go
@@ -112,15 +112,16 @@
 	return now.Sub(r.since) < d.cfg.HeartbeatMax+d.cfg.ReplyTimeout
 }
 
-// put takes an endpoint's state, and reports whether it was new.
-func (r *registry) put(s *wire.EndpointState, remote bool) (*entry, bool) {
+// put takes an endpoint's state when it is newer than what is held, and returns
+// what is held then, nil for nothing.
+func (r *registry) put(s *wire.EndpointState, remote bool) *entry {
 	e := r.entries[s.Peer]
 	var old *wire.EndpointState
 	if e != nil {
 		old = e.state
 	}
 	if !r.past.newer(old, s) {
-		return e, false
+		return e
 	}
 	if e == nil {
 		e = &entry{hash: xxhash.Sum64String(s.Peer)}
@@ -129,7 +130,7 @@
 	e.state, e.remote = s, remote
 	r.urgent = r.urgent || s.Draining
 	r.changed(s.Peer)
-	return e, true
+	return e
 }
 
 func (r *registry) changed(peer string) {
@@ -148,7 +149,7 @@
 	r := d.registry(now, m.Service)
 	e := r.entries[from]
 	if s := m.Endpoint; s != nil && s.Peer == from && s.Service == m.Service {
-		e, _ = r.put(s, false)
+		e = r.put(s, false)
 	}
 	ack := &wire.AnnounceAck{Service: m.Service, Incarnation: m.Incarnation}
 	interval := spread(len(r.entries), d.cfg.HeartbeatsPerSecond, d.cfg.HeartbeatEvery, d.cfg.HeartbeatMax)
@@ -183,7 +184,7 @@
 		s = &subscriber{local: m.Local}
 		r.subs[from] = s
 	}
-	renew := r.renewEvery(d)
+	renew := r.renewEvery(d, m.Local)
 	s.expiresAt = now.Add(3 * renew)
 	s.acked = 0
 	if m.Epoch == r.epoch {
@@ -204,8 +205,14 @@
 	d.push(now, r)
 }
 
-func (r *registry) renewEvery(d *Directory) time.Duration {
-	return spread(len(r.subs), d.cfg.RenewalsPerSecond, d.cfg.RenewEvery, d.cfg.RenewMax)
+// renewEvery returns the interval between renewals; local is for subscribers
+// in other data centres.
+func (r *registry) renewEvery(d *Directory, local bool) time.Duration {
+	least := d.cfg.RenewEvery
+	if local {
+		least = d.cfg.RenewFarEvery
+	}
+	return spread(len(r.subs), d.cfg.RenewalsPerSecond, least, d.cfg.RenewMax)
 }
 
 // push sends to each subscriber what it does not have, again while it does not
@@ -261,7 +268,7 @@
 func (d *Directory) sendList(now time.Time, r *registry, to string, s *subscriber, lv levels) {
 	m := &wire.EndpointList{
 		Service: r.service, DataCentre: d.cfg.DataCentre, Epoch: r.epoch, Base: s.acked, Version: r.version,
-		Warming: r.warming(d, now), RenewMs: uint32(r.renewEvery(d).Milliseconds()),
+		Warming: r.warming(d, now), RenewMs: uint32(r.renewEvery(d, s.local).Milliseconds()),
 	}
 	whole := s.acked == 0 || lv != s.levels || (s.acked < r.version && (len(r.log) == 0 || r.log[0].version > s.acked+1))
 	if whole {
--- a/datacentre/watch.go
+++ b/datacentre/watch.go
@@ -120,11 +120,7 @@
 
 // renewViews subscribes to the registrars that this watch needs.
 func (d *Directory) renewViews(now time.Time, w *watch) {
-	n := registrars
-	if w.elsewhere(d) {
-		n = 1
-	}
-	for _, to := range d.choose(now, d.rank(w.key.dataCentre, registrarRole(w.key.service)), n) {
+	for _, to := range d.choose(now, d.rank(w.key.dataCentre, registrarRole(w.key.service)), registrars) {
 		v := w.views[to]
 		if v == nil {
 			v = &view{states: make(map[string]*wire.EndpointState), heardAt: now, renew: d.cfg.RenewEvery}
--- a/datacentre/world_test.go
+++ b/datacentre/world_test.go
@@ -52,7 +52,6 @@
 	address string
 	dc      string
 	paused  bool
-	phase   time.Duration
 	nextAt  time.Time
 }
 
