Members: relays in groups, end of warming pushed, restarts noticed

Cause: the idle benchmark showed 2.1 to 2.8 KB/s at the relay of 256 members, over the 2 KB/s that a daemon has for control. With a longer renewal between data centres, a random schedule took 96 s to converge: a registrar that had restarted had forgotten its subscribers, and its list counted as warming for one renewal more. Change: one relay for about 64 members, only the first one reads the store; fewer heartbeats and renewals per second and service; the end of warming is a new version; subscriptions between registrars carry the sender's epoch, so that a restart is noticed at its first subscription.

--- a/datacentre/config.go
+++ b/datacentre/config.go
@@ -21,6 +21,9 @@
 	// PullEvery is the time between two questions to a relay.
 	PullEvery time.Duration
 
+	// RelayGroup is about the number of members that ask one relay.
+	RelayGroup int
+
 	// ReadEvery is the time between two reads of the store by a relay.
 	ReadEvery time.Duration
 
@@ -91,18 +94,19 @@
 func Defaults() Config {
 	return Config{
 		PullEvery:           5 * time.Second,
+		RelayGroup:          64,
 		ReadEvery:           2 * time.Second,
 		AskBatch:            300 * time.Millisecond,
 		JoinJitter:          500 * time.Millisecond,
 		ReplyTimeout:        2 * time.Second,
 		HeartbeatEvery:      1500 * time.Millisecond,
-		HeartbeatsPerSecond: 20,
+		HeartbeatsPerSecond: 10,
 		HeartbeatMax:        10 * time.Second,
 		MissedHeartbeats:    3.5,
 		RetryEvery:          250 * time.Millisecond,
 		RenewEvery:          5 * time.Second,
-		RenewFarEvery:       20 * time.Second,
-		RenewalsPerSecond:   8,
+		RenewFarEvery:       40 * time.Second,
+		RenewalsPerSecond:   5,
 		RenewMax:            time.Minute,
 		PushesPerSecond:     100,
 		PushMax:             2 * time.Second,
--- a/datacentre/doc.go
+++ b/datacentre/doc.go
@@ -8,10 +8,11 @@
 // platform's table, changed only by conditional transactions. It says who may be
 // chosen for a role (Place), not who is alive. A daemon asks a relay to add it,
 // and relays put the requests of some hundred milliseconds into one
-// transaction, so that the return of a rack is a few writes. Relays are
-// whoever is asked: each member asks the first live one in rendezvous order, and
-// who is asked reads the store every few seconds. One read covers the rosters
-// of all data centres, since it asks only for what has changed.
+// transaction, so that the return of a rack is a few writes. About every 64
+// members share a relay, the first live one in rendezvous order, and the relays
+// ask the relay of the first group, which reads the store every few seconds. One
+// read covers the rosters of all data centres, since it asks only for what has
+// changed.
 //
 // A member confirms its rosters by asking, and the answer carries the age of
 // the relay's own confirmation. The time of asking less that age is a safe time
--- a/datacentre/membership.go
+++ b/datacentre/membership.go
@@ -60,28 +60,30 @@
 	}
 }
 
-// silent returns the members of the own roster that this relay has not heard
-// from since then.
-func (r *rosters) silent(since time.Time) []string {
+// silent returns the members of the groups that this relay leads from which it
+// has not heard since then, and the number of all members of these groups.
+func (r *rosters) silent(since time.Time) (silent []string, all int) {
 	own := r.ownRow()
-	if own == nil {
-		return nil
+	for i, a := range own.addresses() {
+		if a == r.d.cfg.Self || !slices.Contains(r.led, groupOf(own.hashes[i], r.grouped)) {
+			continue
+		}
+		all++
+		if c := r.d.peers[a]; c == nil || !c.heardAt.After(since) {
+			silent = append(silent, a)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(own.value.Addresses), func(a string) bool {
-		c := r.d.peers[a]
-		return a == r.d.cfg.Self || (c != nil && c.heardAt.After(since))
-	})
+	return silent, all
 }
 
 // probeSilent asks members that may have to be removed whether they are alive.
 func (r *rosters) probeSilent(now time.Time) {
-	if now.Sub(r.relayFrom) < r.d.cfg.ExpelAfter/2 || now.Before(r.nextExpel.Add(-r.d.cfg.ExpelEvery/2)) {
+	if now.Sub(r.relayFrom) < r.d.cfg.ExpelAfter/2 || now.Before(r.nextExpel.Add(-r.d.cfg.ExpelEvery/2)) || r.probed != nil {
 		return
 	}
-	for _, a := range r.silent(now.Add(-r.d.cfg.ExpelAfter / 2)) {
-		if r.probed[a] || len(r.probed) >= r.d.cfg.ExpelMost {
-			continue
-		}
+	r.probed = make(map[string]bool)
+	silent, _ := r.silent(now.Add(-r.d.cfg.ExpelAfter / 2))
+	for _, a := range silent[:min(len(silent), r.d.cfg.ExpelMost)] {
 		r.probed[a] = true
 		r.d.send(a, &wire.Member{Kind: &wire.Member_Probe{Probe: &wire.Probe{}}})
 	}
@@ -94,16 +96,16 @@
 	}
 	r.nextExpel = now.Add(r.d.cfg.ExpelEvery)
 	probed := r.probed
-	r.probed = make(map[string]bool)
+	r.probed = nil
 	patience := r.d.cfg.ExpelAfter
-	if many := r.silent(now.Add(-patience)); 4*len(many) > len(r.ownRow().addresses()) {
+	if many, all := r.silent(now.Add(-patience)); 4*len(many) > all {
 		patience = r.d.cfg.ExpelManyAfter
 	}
-	if now.Sub(r.relayFrom) < patience || len(r.relay(now)) > 0 {
+	if now.Sub(r.relayFrom) < patience {
 		return nil
 	}
-	gone := slices.DeleteFunc(r.silent(now.Add(-patience)), func(a string) bool { return !probed[a] })
-	return gone[:min(len(gone), r.d.cfg.ExpelMost)]
+	gone, _ := r.silent(now.Add(-patience))
+	return slices.DeleteFunc(gone, func(a string) bool { return !probed[a] })
 }
 
 func (r *row) addresses() []string {
--- a/datacentre/registry.go
+++ b/datacentre/registry.go
@@ -24,6 +24,7 @@
 	log     []logged // changes, in the order of their versions
 	subs    map[string]*subscriber
 
+	warm     bool      // subscribers are told that the list is whole
 	urgent   bool      // a change waits that must not be collected with others
 	nextPush time.Time // when changes that are not urgent go out
 }
@@ -178,6 +179,7 @@
 		}
 		return
 	}
+	d.noteRestart(now, from, m)
 	r := d.registry(now, m.Service)
 	s := r.subs[from]
 	if s == nil || s.local != m.Local {
@@ -359,6 +361,10 @@
 				delete(r.subs, to)
 			}
 		}
+		if !r.warm && !r.warming(d, now) {
+			r.warm = true
+			r.version++
+		}
 		if len(r.entries) > 0 {
 			d.watch(now, watchKey{name, d.cfg.DataCentre}).usedAt = now
 		}
--- a/datacentre/rosters.go
+++ b/datacentre/rosters.go
@@ -3,13 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wisteriafold/wire"
 )
 
-// relayRole is the key by which relays are ranked.
-const relayRole = "relay"
+const (
+	relayRoles = "relay/"           // and the number of the group
+	relaySalt  = 0x52656c6179000000 // keeps groups independent of other placements
+)
 
 // pullsRemembered bounds the questions whose time of asking is kept.
 const pullsRemembered = 16
@@ -30,8 +35,9 @@
 	farAt    int
 	full     map[string]bool // data centres whose roster is needed in full
 
-	pulledAt  time.Time // last question of another daemon
-	relayFrom time.Time // since when this daemon has been a relay, zero when it is none
+	grouped   int       // number of groups at the last tick
+	led       []int     // groups whose relay this daemon is
+	relayFrom time.Time // since when this daemon has been a relay with these groups
 	nextRead  time.Time
 	busy      bool
 	storeErr  error
@@ -44,7 +50,7 @@
 	leaving  bool
 
 	nextExpel time.Time
-	probed    map[string]bool
+	probed    map[string]bool // members asked for a sign of life, nil when it is not time
 }
 
 type pull struct {
@@ -58,7 +64,6 @@
 	r.full = make(map[string]bool)
 	r.joins = make(map[string]bool)
 	r.leaves = make(map[string]bool)
-	r.probed = make(map[string]bool)
 	r.nextPull = now
 	r.nextRead = now.Add(d.jitter(d.cfg.JoinJitter))
 	r.joinAt = now.Add(d.cfg.AskBatch + time.Duration(d.rng.Float64()*float64(d.cfg.JoinJitter)))
@@ -93,26 +98,55 @@
 	return own != nil && slices.Contains(own.value.Addresses, r.d.cfg.Self)
 }
 
-// relay returns the live members that this daemon asks, this daemon excluded
-// when others rank before it. It is empty when this daemon is the relay itself.
-func (r *rosters) relay(now time.Time) []string {
+// groups is the number of relays that the members of the own data centre share.
+func (r *rosters) groups() int {
+	return 1 + (len(r.ownRow().addresses())-1)/max(1, r.d.cfg.RelayGroup)
+}
+
+// groupOf returns the group of a member whose address has that hash.
+func groupOf(hash uint64, groups int) int { return int(mix(hash^relaySalt) % uint64(groups)) }
+
+func relayRole(group int) string { return relayRoles + strconv.Itoa(group) }
+
+// before returns the members that come before this daemon in a role, up to the
+// first live one. It is empty when this daemon is the first live one.
+func (r *rosters) before(now time.Time, role string) []string {
 	var before []string
-	for _, a := range r.d.rank(r.d.cfg.DataCentre, relayRole) {
+	for _, a := range r.d.rank(r.d.cfg.DataCentre, role) {
 		if a == r.d.cfg.Self {
-			if len(r.d.aliveAmong(now, before)) == 0 {
-				return nil
-			}
-			return before
+			break
 		}
 		before = append(before, a)
 		if r.d.alive(now, a) {
 			return before
 		}
 	}
-	if len(r.d.aliveAmong(now, before)) == 0 {
-		return nil
+	return nil
+}
+
+// leads returns the groups whose relay this daemon is.
+func (r *rosters) leads(now time.Time, groups int) []int {
+	var out []int
+	for g := range groups {
+		ranked := r.d.rank(r.d.cfg.DataCentre, relayRole(g))
+		if slices.Contains(ranked, r.d.cfg.Self) && len(r.before(now, relayRole(g))) == 0 {
+			out = append(out, g)
+		}
 	}
-	return before
+	return out
+}
+
+// relay returns the members that this daemon asks: the relay of its group, or
+// that of the first group when it is a relay itself. It is empty when nobody
+// comes before it there: this daemon then reads the store.
+func (r *rosters) relay(now time.Time, groups int, leads []int) []string {
+	if len(leads) == 0 {
+		ask := r.before(now, relayRole(groupOf(xxhash.Sum64String(r.d.cfg.Self), groups)))
+		if len(ask) > 0 {
+			return ask
+		}
+	}
+	return r.before(now, relayRole(0))
 }
 
 func (d *Directory) aliveAmong(now time.Time, members []string) []string {
@@ -120,25 +154,22 @@
 }
 
 func (r *rosters) tick(now time.Time) {
-	ask := r.relay(now)
+	groups := r.groups()
+	leads := r.leads(now, groups)
+	ask := r.relay(now, groups, leads)
 	r.tickPull(now, ask)
 	r.tickMembership(now, ask)
-	acting := len(ask) == 0 || (!r.pulledAt.IsZero() && now.Sub(r.pulledAt) < 3*r.d.cfg.PullEvery)
-	flush := !r.flushAt.IsZero() && !now.Before(r.flushAt)
-	if !acting {
-		r.relayFrom = time.Time{}
-		if flush {
-			r.submit(now, nil)
-		}
-		return
-	}
-	if r.relayFrom.IsZero() {
+	if len(leads) == 0 || groups != r.grouped {
 		r.relayFrom = now
 	}
-	if flush || !now.Before(r.nextRead) {
-		r.submit(now, r.toExpel(now))
-	}
+	r.grouped, r.led = groups, leads
 	r.probeSilent(now)
+	expel := r.toExpel(now)
+	flush := !r.flushAt.IsZero() && !now.Before(r.flushAt)
+	reads := len(ask) == 0 && !now.Before(r.nextRead)
+	if flush || reads || len(expel) > 0 {
+		r.submit(now, expel)
+	}
 }
 
 // tickPull asks the relay, or relays elsewhere when nobody near has heard from
@@ -166,7 +197,7 @@
 		return
 	}
 	r.farAt++
-	far := r.d.rank(others[r.farAt%len(others)], relayRole)
+	far := r.d.rank(others[r.farAt%len(others)], relayRole(0))
 	for _, a := range r.d.choose(now, far, 1) {
 		r.pull(now, a)
 	}
@@ -190,10 +221,6 @@
 
 // pulled answers another daemon's question.
 func (r *rosters) pulled(now time.Time, from string, q *wire.RosterPull) {
-	if r.pulledAt.IsZero() || now.Sub(r.pulledAt) >= 3*r.d.cfg.PullEvery {
-		r.nextRead = now // a new relay reads at once
-	}
-	r.pulledAt = now
 	a := &wire.RosterState{Nonce: q.Nonce, Sequence: r.sequence}
 	if !r.confirmedAt.IsZero() {
 		a.Confirmed = true
--- a/datacentre/snapshot.go
+++ b/datacentre/snapshot.go
@@ -82,7 +82,7 @@
 // Status describes a directory for operators.
 type Status struct {
 	Listed          bool          // on its data centre's roster
-	Relay           bool          // reads the store for others
+	Relay           bool          // answers others about rosters
 	Rosters         []Roster      // of all data centres
 	RosterAge       time.Duration // since the rosters were confirmed, negative when never
 	StoreError      string        // of the last job, empty when it went well
@@ -135,7 +135,7 @@
 func (d *Directory) Status(now time.Time) Status {
 	r := &d.rosters
 	st := Status{
-		Listed: r.listed(), Relay: !r.relayFrom.IsZero(), Rosters: d.Snapshot().rosters, RosterAge: -1,
+		Listed: r.listed(), Relay: len(r.led) > 0, Rosters: d.Snapshot().rosters, RosterAge: -1,
 		Counts: d.count, JoinsLeavesOpen: len(r.joins) + len(r.leaves),
 	}
 	if !r.confirmedAt.IsZero() {
--- a/datacentre/watch.go
+++ b/datacentre/watch.go
@@ -137,9 +137,29 @@
 
 func (d *Directory) subscribe(w *watch, to string, v *view, ack bool) {
 	m := &wire.Subscribe{Service: w.key.service, Local: w.elsewhere(d), Epoch: v.epoch, Version: v.version, Ack: ack}
+	if r := d.services[w.key.service]; r != nil && m.Local {
+		m.Registry = r.epoch
+	}
 	d.send(to, &wire.Member{Kind: &wire.Member_Subscribe{Subscribe: m}})
 }
 
+// noteRestart renews a view at once whose registrar has started anew, as its
+// own subscription shows, and so has forgotten its subscribers.
+func (d *Directory) noteRestart(now time.Time, from string, m *wire.Subscribe) {
+	if m.Registry == 0 {
+		return
+	}
+	for _, name := range d.dataCentres() {
+		w := d.watches[watchKey{m.Service, name}]
+		if w == nil {
+			continue
+		}
+		if v := w.views[from]; v != nil && v.epoch != 0 && v.epoch != m.Registry {
+			v.next = now
+		}
+	}
+}
+
 // receiveList takes a registrar's list.
 func (d *Directory) receiveList(now time.Time, from string, m *wire.EndpointList) {
 	w := d.watches[watchKey{m.Service, m.DataCentre}]
