--- /dev/null
+++ b/backend/core_test.go
@@ -0,0 +1,145 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wisteriafold/request"
+)
+
+// epoch is the virtual time at which tests start.
+var epoch = time.Unix(1_000_000, 0)
+
+// script drives a core through a list of events and records what it decides.
+type script struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	tickets map[string]*Ticket
+	started []string
+	refused map[string]request.Reason
+}
+
+func newScript(t *testing.T, cfg Config) *script {
+	return &script{
+		t: t, core: NewCore(cfg), now: epoch,
+		tickets: map[string]*Ticket{}, refused: map[string]request.Reason{},
+	}
+}
+
+func (s *script) take(events []Event) {
+	for _, e := range events {
+		id := e.Ticket.Call.ID
+		if e.Refusal != nil {
+			require.Equal(s.t, request.NotRun, e.Refusal.Outcome)
+			s.refused[id] = e.Refusal.Reason
+			continue
+		}
+		s.started = append(s.started, id)
+	}
+}
+
+func (s *script) offer(id string, change ...func(*Ticket)) {
+	t := &Ticket{Weight: 1, Call: &request.Call{
+		ID: id, Organisation: "o", Importance: request.Normal, Deadline: s.now.Add(10 * time.Second),
+	}}
+	for _, c := range change {
+		c(t)
+	}
+	s.tickets[id] = t
+	s.take(s.core.Offer(s.now, t))
+}
+
+func (s *script) finish(id string, r Result) { s.take(s.core.Finish(s.now, s.tickets[id], r)) }
+func (s *script) pass(d time.Duration)       { s.now = s.now.Add(d); s.take(s.core.Tick(s.now)) }
+
+func important(i request.Importance) func(*Ticket) {
+	return func(t *Ticket) { t.Call.Importance = i }
+}
+
+func owned(organisation string, weight float64) func(*Ticket) {
+	return func(t *Ticket) { t.Call.Organisation, t.Weight = organisation, weight }
+}
+
+func tree(h uint64) func(*Ticket) {
+	return func(t *Ticket) { t.Call.Tree = request.Tree(h << 48) }
+}
+
+func spent(t *Ticket) { t.Call.WorkSpent = true }
+
+func due(d time.Duration) func(*Ticket) {
+	return func(t *Ticket) { t.Call.Deadline = epoch.Add(d) }
+}
+
+var one = Config{Slots: 1, Cold: 1, Queue: 3}
+
+func TestOrderIsImportanceThenWorkSpentThenTree(t *testing.T) {
+	s := newScript(t, Config{Slots: 1, Cold: 1, Queue: 10})
+	s.offer("running")
+	s.offer("low-tree", tree(1))
+	s.offer("high-tree", tree(9))
+	s.offer("spent", spent)
+	s.offer("critical", important(request.Critical))
+	s.offer("sheddable", important(request.Sheddable), spent)
+	for i := 0; i < 5; i++ {
+		s.finish(s.started[i], Result{})
+	}
+	require.Equal(t, []string{"running", "critical", "spent", "high-tree", "low-tree", "sheddable"}, s.started)
+}
+
+func TestFullQueueEvictsTheLeastImportantOne(t *testing.T) {
+	s := newScript(t, one)
+	s.offer("running")
+	s.offer("normal")
+	s.offer("sheddable", important(request.Sheddable))
+	s.offer("high", important(request.High))
+	s.offer("critical", important(request.Critical))
+	s.offer("late-sheddable", important(request.Sheddable))
+	require.Equal(t, map[string]request.Reason{
+		"sheddable": request.ReasonQueueFull, "late-sheddable": request.ReasonQueueFull,
+	}, s.refused)
+}
+
+func TestOrganisationsTakeTurnsByWeight(t *testing.T) {
+	s := newScript(t, Config{Slots: 1, Cold: 1, Queue: 100})
+	s.offer("running", owned("z", 1))
+	for i := range 12 {
+		s.offer("a"+string(rune('a'+i)), owned("a", 1), tree(1000))
+		s.offer("b"+string(rune('a'+i)), owned("b", 3), tree(1))
+	}
+	for i := range 16 {
+		s.finish(s.started[i], Result{Latency: time.Millisecond})
+	}
+	heavy := 0
+	for _, id := range s.started[1:] {
+		if id[0] == 'b' {
+			heavy++
+		}
+	}
+	require.Equal(t, 12, heavy, "3 of 4 turns: %v", s.started)
+}
+
+func TestCallThatCannotBeAnsweredInTimeIsNotRun(t *testing.T) {
+	s := newScript(t, Config{Slots: 2, Cold: 2, Queue: 10})
+	s.offer("first")
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.finish("first", Result{})
+	s.offer("a", due(10*time.Second))
+	s.offer("b", due(10*time.Second))
+	s.offer("waits", due(350*time.Millisecond))
+	s.offer("hopeless", due(150*time.Millisecond))
+	require.Equal(t, request.ReasonDeadline, s.refused["hopeless"])
+	s.pass(200 * time.Millisecond)
+	require.Equal(t, request.ReasonDeadline, s.refused["waits"], "dropped in the queue once it is too late")
+}
+
+func TestWrongServiceTimeEstimateIsCorrected(t *testing.T) {
+	s := newScript(t, Config{Slots: 2, Cold: 2})
+	s.offer("slow")
+	s.now = s.now.Add(5 * time.Second)
+	s.finish("slow", Result{})
+	s.offer("probe", due(5*time.Second+20*time.Millisecond))
+	require.Contains(t, s.started, "probe", "an idle backend server is tried whatever the estimate says")
+}
