--- a/backend/core.go
+++ b/backend/core.go
@@ -221,6 +221,9 @@
 // Level returns the admission level that answers carry.
 func (c *Core) Level() request.Priority { return request.Priority(c.level.value) }
 
+// Standing reports whether the queue shows standing overload.
+func (c *Core) Standing() bool { return c.sojourn.standing }
+
 // Counts returns the totals since the start.
 func (c *Core) Counts() Counts { return c.counts }
 
--- a/backend/level.go
+++ b/backend/level.go
@@ -26,6 +26,7 @@
 	short   bool    // the queue was empty at some time in the window
 	busy    float64 // integral of running / limit over the window, in seconds
 	seenAt  time.Time
+	most    float64 // largest fall in the next window, in classes
 }
 
 const (
@@ -37,8 +38,11 @@
 	holdWindows = 2    // windows for which the level holds after a rise
 	roomTarget  = 0.97 // utilisation at which the level no longer falls
 	roomGain    = 0.5  // part of the room that one fall gives away
-	fallMost    = 0.15 // largest fall in one window, in classes
+	fallMost    = 0.15 // largest fall in one window after one without a fall, in classes
 	fallLeast   = 0.01 // smallest fall in one window, in classes
+	fallSpeedUp = 1.5  // growth of the largest fall from one window to the next
+	fallLimit   = 0.75 // bound of the largest fall, in classes
+	idleEnough  = 0.7  // utilisation under which falls speed up
 	shedNoise   = 0.01 // part of the demand that may be shed without a rise
 )
 
@@ -98,6 +102,7 @@
 	}
 	keep := max(keepLeast, min(1, l.started/total)) * total
 	l.holdTill = now.Add(holdWindows * l.cfg.Window)
+	l.most = fallMost
 	above := 0.0
 	for i := buckets - 1; i >= 0; i-- {
 		n := l.demand[i]
@@ -113,15 +118,24 @@
 	}
 }
 
-// fall lowers the level in proportion to the room that was left.
+// fall lowers the level in proportion to the room that was left. The bound of
+// one step grows from window to window while much room is left, so that the
+// level opens within a second or two after an overload has ended, and starts
+// small, so that a single quiet window does not let a surge in.
 func (l *level) fall(utilisation float64, span time.Duration) {
 	width := float64(request.ClassWidth)
 	windows := float64(span) / float64(l.cfg.Window)
-	step := fallMost
+	l.most = max(l.most, fallMost)
+	step := l.most
 	if utilisation > 0 {
 		open := (float64(request.LevelShut) - l.value) / width
 		step = roomGain * open * (roomTarget/utilisation - 1)
 	}
-	step = max(fallLeast, min(fallMost, step))
+	step = max(fallLeast, min(l.most, step))
 	l.value = max(0, l.value-step*windows*width)
+	if utilisation < idleEnough {
+		l.most = min(fallLimit, l.most*fallSpeedUp)
+	} else {
+		l.most = fallMost
+	}
 }
