--- a/backend/core_test.go
+++ b/backend/core_test.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,3 +145,68 @@
 	s.offer("probe", due(5*time.Second+20*time.Millisecond))
 	require.Contains(t, s.started, "probe", "an idle backend server is tried whatever the estimate says")
 }
+
+func TestReportedHealthOnlyMattersUntilCallsShowOtherwise(t *testing.T) {
+	s := newScript(t, Config{Slots: 8, Cold: 4})
+	bad := Hint{Unhealthy: true, Load: 5, At: s.now}
+	s.core.SetHint(bad)
+	s.pass(time.Millisecond)
+	require.Equal(t, 1, s.core.Limit(), "a cold backend server that calls itself unwell is only tried")
+	s.offer("first")
+	s.finish("first", Result{Latency: time.Millisecond})
+	s.core.SetHint(bad)
+	require.GreaterOrEqual(t, s.core.Limit(), 4, "it answers, so the report is wrong")
+}
+
+// press offers three times what two slots carry, in equal parts of three
+// classes, and returns the average admission level over the last half, in classes.
+func (s *script) press(d time.Duration) float64 {
+	var sum, n float64
+	var open []*Ticket
+	from := s.now
+	for i := 0; s.now.Sub(from) < d; i++ {
+		id := fmt.Sprint("press", i)
+		s.offer(id, important(request.Importance(i%3)), tree(uint64(i*7919%65536)))
+		open = append(open, s.tickets[id])
+		s.pass(time.Millisecond)
+		for _, k := range open {
+			if k.state == running && s.now.Sub(k.started) >= 6*time.Millisecond {
+				s.finish(k.Call.ID, Result{})
+			}
+		}
+		open = slices.DeleteFunc(open, func(k *Ticket) bool { return k.state == ended })
+		if s.now.Sub(from) > d/2 {
+			sum, n = sum+float64(s.core.Level()), n+1
+		}
+	}
+	for s.core.Running() > 0 {
+		i := slices.IndexFunc(open, func(k *Ticket) bool { return k.state == running })
+		s.finish(open[i].Call.ID, Result{})
+	}
+	return sum / n / float64(request.ClassWidth)
+}
+
+func TestLevelRisesToWhatTheGateCarriesAndFallsAgain(t *testing.T) {
+	s := newScript(t, Config{Slots: 2, Cold: 2})
+	require.InDelta(t, 2, s.press(6*time.Second), 0.5,
+		"of three equal classes at three times the capacity only the highest fits")
+	for range 20 {
+		s.pass(100 * time.Millisecond)
+	}
+	require.Equal(t, request.LevelOpen, s.core.Level())
+}
+
+func TestStandingOverloadTakesTheNewestFirst(t *testing.T) {
+	s := newScript(t, Config{Slots: 1, Cold: 1, Queue: 50, MaxWait: time.Minute})
+	s.offer("a", tree(9))
+	s.finish("a", Result{Latency: 20 * time.Millisecond})
+	s.offer("b")
+	s.offer("old", tree(9))
+	s.pass(110 * time.Millisecond)
+	s.pass(110 * time.Millisecond)
+	require.True(t, s.core.Standing())
+	s.offer("new", tree(1))
+	s.finish("b", Result{Latency: 20 * time.Millisecond})
+	require.Equal(t, []string{"a", "b", "new"}, s.started)
+	require.Equal(t, request.ReasonQueueTimeout, s.refused["old"])
+}
--- a/backend/limiter.go
+++ b/backend/limiter.go
@@ -15,6 +15,7 @@
 type Limiter struct {
 	cfg     Config
 	limit   float64
+	cap     float64   // bound on growth: the ceiling, or less after a confirmed trial
 	knee    float64   // limit at the last shed; infinite before the first
 	cutAt   time.Time // when the limit was last cut for a shed
 	started time.Time // start of the window in progress
@@ -57,7 +58,7 @@
 // NewLimiter returns a limiter that starts cold.
 func NewLimiter(cfg Config) *Limiter {
 	cfg = cfg.withDefaults()
-	return &Limiter{cfg: cfg, limit: float64(cfg.Cold), knee: math.Inf(1)}
+	return &Limiter{cfg: cfg, limit: float64(cfg.Cold), cap: float64(cfg.ceiling()), knee: math.Inf(1)}
 }
 
 // Limit returns the number of calls that may run at once, at least 1.
@@ -117,7 +118,7 @@
 	if l.trial.on || float64(inFlight) < fewRunning*l.limit {
 		return
 	}
-	l.limit = min(float64(l.cfg.ceiling()), l.limit+l.growth())
+	l.limit = min(l.cap, l.limit+l.growth())
 }
 
 // growth is what one answered call adds to the limit: much far below the knee,
@@ -172,22 +173,39 @@
 		l.limit, t.on = t.limit, false
 	case t.on && rate >= keptRate*t.rate:
 		t.on, t.hold = false, 0
-		l.knee = l.limit
+		l.cap = l.limit
 	case t.on:
 		l.limit, t.on = t.limit, false
+		l.widen()
 		t.hold = min(maxHold, max(firstHold, 2*t.hold))
 		t.notTill = now.Add(t.hold)
-	case l.suspects(now):
+	case !l.congested():
+		l.widen()
+	case l.mayTry(now):
 		*t = trial{on: true, settle: true, limit: l.limit, rate: rate, hold: t.hold}
-		l.limit = max(trialFloor*float64(l.cfg.ceiling()), trialCut*l.limit)
+		l.limit = max(l.floor(), trialCut*l.limit)
 	}
 }
 
-// suspects reports whether latency gives reason for a trial.
-func (l *Limiter) suspects(now time.Time) bool {
-	return l.busy && l.base > 0 && !now.Before(l.trial.notTill) &&
-		l.limit > trialFloor*float64(l.cfg.ceiling()) &&
-		l.recent.median() > suspectFactor*l.base
+// widen lets the limit grow further than a confirmed trial has left it.
+func (l *Limiter) widen() {
+	l.cap = min(float64(l.cfg.ceiling()), l.cap/trialCut+1)
+}
+
+// congested reports whether latency is far over that of a lightly loaded
+// backend server.
+func (l *Limiter) congested() bool {
+	return l.base > 0 && l.recent.median() > suspectFactor*l.base
+}
+
+// mayTry reports whether a trial may start.
+func (l *Limiter) mayTry(now time.Time) bool {
+	return l.busy && !now.Before(l.trial.notTill) && l.limit > l.floor()
+}
+
+// floor is the limit that latency alone never cuts below.
+func (l *Limiter) floor() float64 {
+	return max(minLimit, trialFloor*float64(l.cfg.ceiling()))
 }
 
 // Restart makes the limiter cold again: the backend server was replaced.
