Daemon core in progress: gate run, forwarding, entry and egress

Cause: the whole path needs one place that wires gate, links and endpoint choice. Change: HTTP client to the backend server that can cancel a call, call tokens, streaming bodies in frames, attempts with conserved allowance, entry and egress handlers, decision log, settings. Not yet reachable from a command.

--- /dev/null
+++ b/instance/body.go
@@ -0,0 +1,137 @@
+package instance
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriafold/request"
+	"wisteriafold/wire"
+)
+
+// upload is the body of a call on its way to a backend server.
+type upload struct {
+	inline []byte    // the whole body, when it is at most wire.ChunkBytes long
+	stream io.Reader // the body, when it is longer or of unknown size
+	size   int64     // bytes, -1 when unknown
+
+	consumed bool // part of the stream was read, another attempt is impossible
+}
+
+// replayable reports whether another attempt can send the same body.
+func (u *upload) replayable() bool { return u.stream == nil || !u.consumed }
+
+// reader returns the body from its start; the stream can be read only once.
+func (u *upload) reader() io.Reader {
+	if u.stream == nil {
+		return bytes.NewReader(u.inline)
+	}
+	u.consumed = true
+	return u.stream
+}
+
+// open is reader in the form that the gate asks for it.
+func (u *upload) open() (io.Reader, error) { return u.reader(), nil }
+
+// limitReader fails with a typed error when more than max bytes are read.
+type limitReader struct {
+	r    io.Reader
+	left int64
+	over *atomic.Bool
+}
+
+func newLimitReader(r io.Reader, limit int64) *limitReader {
+	return &limitReader{r: r, left: limit, over: new(atomic.Bool)}
+}
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	if l.left < 0 {
+		l.over.Store(true)
+		return 0, request.Lose(request.ReasonTooLarge, "the body is over the route's max_body_bytes", nil)
+	}
+	return n, err
+}
+
+// frameSource is where chunk frames come from.
+type frameSource interface {
+	Read() (*wire.Frame, error)
+}
+
+// frameReader reads a body that comes in chunk frames, up to its End frame.
+type frameReader struct {
+	src  frameSource
+	rest []byte
+	n    uint64
+	done bool
+}
+
+// errCut reports a body that ended before its End frame.
+var errCut = eris.New("the body was cut short: the sender went away before its end")
+
+// Read implements io.Reader. It returns io.EOF only after a matching End frame.
+func (r *frameReader) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.done {
+			return 0, io.EOF
+		}
+		if err := r.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+func (r *frameReader) next() error {
+	f, err := r.src.Read()
+	if err != nil {
+		return eris.Wrap(errCut, err.Error())
+	}
+	switch k := f.Kind.(type) {
+	case *wire.Frame_Chunk:
+		r.rest = k.Chunk
+		r.n += uint64(len(k.Chunk))
+	case *wire.Frame_End:
+		if k.End.Bytes != r.n {
+			return errCut
+		}
+		r.done = true
+	default:
+		return eris.Wrap(errCut, "a frame of another kind came inside the body")
+	}
+	return nil
+}
+
+// frameSink is where chunk frames go to.
+type frameSink interface {
+	Write(f *wire.Frame) error
+}
+
+// copyChunks sends src as chunk frames and an End frame. On a read error it
+// returns without the End frame, so that the receiver sees the cut. Only a
+// plain io.EOF is an end: io.ErrUnexpectedEOF means that src itself was cut.
+func copyChunks(dst frameSink, src io.Reader) error {
+	buf := make([]byte, wire.ChunkBytes)
+	var total uint64
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			total += uint64(n)
+			if werr := dst.Write(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: buf[:n]}}); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return dst.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Bytes: total}}})
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/instance/callers.go
@@ -0,0 +1,338 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/config"
+	"wisteriafold/organisation"
+	"wisteriafold/request"
+	"wisteriafold/wire"
+)
+
+// entry is one outside request at the daemon that it entered by.
+type entry struct {
+	d     *Daemon
+	http  *fasthttp.RequestCtx
+	view  *view
+	match *config.Match
+	call  *request.Call
+	out   *outgoing
+	limit *limitReader // nil for a body that was read whole
+}
+
+// serveCaller handles one request on the callers listener.
+func (d *Daemon) serveCaller(hc *fasthttp.RequestCtx) {
+	started := d.now()
+	d.stats.requests.Add(1)
+	e := &entry{d: d, http: hc, view: d.view.Load()}
+	ctx, cancel := context.WithCancel(d.traffic)
+	defer d.watch.add(hc.Conn(), cancel)()
+	ans, err := e.serve(ctx)
+	if err != nil {
+		cancel()
+		d.writeRefusal(hc, e.id(), err)
+		d.finished(e.call, err.Outcome, string(err.Reason), started)
+		return
+	}
+	d.writeCaller(hc, e, ans, cancel)
+	d.finished(e.call, request.Answered, "whole answer", started)
+}
+
+func (e *entry) id() string {
+	if e.call == nil {
+		return ""
+	}
+	return e.call.ID
+}
+
+func (e *entry) serve(ctx context.Context) (*answer, *request.Error) {
+	if err := e.identify(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.call.Deadline)
+	ans, err := e.admit(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	release := ans.close
+	ans.close = func(complete bool) {
+		release(complete)
+		cancel()
+	}
+	return ans, nil
+}
+
+// identify finds route and organisation and describes the call.
+func (e *entry) identify() *request.Error {
+	h := &e.http.Request.Header
+	if err := checkCallerHeaders(h); err != nil {
+		return err
+	}
+	m, ok := e.view.snap.Route(h.Method(), e.http.Path())
+	if !ok {
+		return request.Refuse(request.ReasonNoRoute, "no route takes this method and path, ask the operators which do")
+	}
+	e.match = m
+	owner, keyID, inAuth, err := e.authenticate(h)
+	if err != nil {
+		return err
+	}
+	if err := e.describe(owner, keyID); err != nil {
+		return err
+	}
+	return e.prepare(h, inAuth)
+}
+
+// checkCallerHeaders refuses fields that only this system may set.
+func checkCallerHeaders(h *fasthttp.RequestHeader) *request.Error {
+	for k := range h.All() {
+		name := string(k)
+		if !isReserved(name) {
+			continue
+		}
+		switch name {
+		case HeaderKey, HeaderTimeout:
+		case HeaderCall:
+			return request.Refuse(request.ReasonBadToken, "call tokens are taken on the egress listener only, remove the field "+name)
+		default:
+			return request.Refuse(request.ReasonBadRequest, "callers may not set "+name+", remove it")
+		}
+	}
+	return nil
+}
+
+// keyOf returns the key that a request came with, and whether it was in the
+// Authorization field. Bearer tokens without the form of a key are the backend
+// server's own affair.
+func keyOf(h *fasthttp.RequestHeader) (key []byte, inAuth bool) {
+	if k := h.Peek(HeaderKey); len(k) > 0 {
+		return k, false
+	}
+	k := bearer(h.Peek(fasthttp.HeaderAuthorization))
+	if len(k) < len(organisation.KeyPrefix) || string(k[:len(organisation.KeyPrefix)]) != organisation.KeyPrefix {
+		return nil, false
+	}
+	return k, true
+}
+
+func (e *entry) authenticate(h *fasthttp.RequestHeader) (owner, keyID string, inAuth bool, err *request.Error) {
+	key, inAuth := keyOf(h)
+	switch {
+	case e.match.Open && key != nil:
+		return "", "", false, request.Refuse(request.ReasonKeyOnOpen, "this route is open to all, send the request without the key")
+	case e.match.Open:
+		return "", "", false, nil
+	case key == nil:
+		return "", "", false, request.Refuse(request.ReasonNoKey, "send the organisation's key in "+HeaderKey)
+	}
+	owner, ok := e.view.keys.Lookup(key)
+	if !ok {
+		return "", "", false, request.Refuse(request.ReasonBadKey, "the key is not in force, ask the operators for a new one")
+	}
+	if age := e.d.knowledgeAge(); e.match.RefuseAge > 0 && age > e.match.RefuseAge {
+		err := request.Refuse(request.ReasonCutOff, "this data centre cannot confirm the key, try another data centre")
+		err.RetryAfter = cutOffRetryAfter
+		return "", "", false, err
+	}
+	id := organisation.IDOf(key)
+	return owner, string(id[:]), inAuth, nil
+}
+
+// describe fixes what holds for the whole tree of the request.
+func (e *entry) describe(owner, keyID string) *request.Error {
+	left := e.match.Deadline
+	if v := e.http.Request.Header.Peek(HeaderTimeout); len(v) > 0 {
+		ms, ok := parseMillis(v)
+		if !ok {
+			return request.Refuse(request.ReasonBadRequest, HeaderTimeout+" must be a positive number of milliseconds")
+		}
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	e.call = &request.Call{
+		ID:           e.d.newRequestID(),
+		Tree:         request.Tree(e.d.random()),
+		Organisation: owner,
+		KeyID:        keyID,
+		Route:        e.match.Route,
+		Service:      e.match.Service,
+		Importance:   e.match.Importance,
+		Deadline:     e.d.now().Add(left),
+		Remaining:    left,
+		Allowance:    e.match.RetryAllowance,
+		Idempotent:   e.match.Idempotent,
+	}
+	return nil
+}
+
+// prepare takes in the body and makes the head that all attempts share.
+func (e *entry) prepare(h *fasthttp.RequestHeader, inAuth bool) *request.Error {
+	body, limit, err := takeBody(e.http, e.match.MaxBody)
+	if err != nil {
+		return err
+	}
+	e.limit = limit
+	e.call.BodyBytes = body.size
+	e.out = &outgoing{
+		call: e.call,
+		body: body,
+		pool: request.NewAllowance(e.call.Allowance),
+		step: "entry",
+		head: headFor(e.call, body, e.view.snap.Generation),
+		fold: func(a *wire.AnswerHead) { e.d.observeEntry(e.match.Route, a) },
+	}
+	e.out.head.Method = string(h.Method())
+	e.out.head.Path = string(e.http.Request.Header.RequestURI())
+	e.out.head.Headers = requestHeaders(h, inAuth)
+	return nil
+}
+
+// headFor returns the part of a call head that all attempts share.
+func headFor(c *request.Call, body *upload, generation uint64) *wire.CallHead {
+	return &wire.CallHead{
+		RequestId:    c.ID,
+		Tree:         uint64(c.Tree),
+		Organisation: c.Organisation,
+		KeyId:        []byte(c.KeyID),
+		Route:        c.Route,
+		Service:      c.Service,
+		Importance:   uint32(c.Importance),
+		Idempotent:   c.Idempotent,
+		Depth:        c.Depth,
+		WorkSpent:    c.WorkSpent,
+		BodyBytes:    body.size,
+		Body:         body.inline,
+		BodyFollows:  body.stream != nil,
+		Generation:   generation,
+	}
+}
+
+// takeBody reads a small body whole and leaves a large one to stream. The
+// limit of a streaming body shows whether it turned out too large.
+func takeBody(hc *fasthttp.RequestCtx, maxBody int64) (*upload, *limitReader, *request.Error) {
+	size := int64(hc.Request.Header.ContentLength())
+	stream := hc.RequestBodyStream()
+	if size > maxBody {
+		hc.SetConnectionClose()
+		return nil, nil, tooLarge()
+	}
+	if stream == nil {
+		b := hc.Request.Body()
+		return &upload{inline: append([]byte(nil), b...), size: int64(len(b))}, nil, nil
+	}
+	limit := newLimitReader(stream, maxBody)
+	if size < 0 || size > wire.ChunkBytes {
+		return &upload{stream: limit, size: max(size, -1)}, limit, nil
+	}
+	b, err := io.ReadAll(limit)
+	if err != nil || int64(len(b)) != size {
+		return nil, nil, request.Refuse(request.ReasonBadRequest, "the body is shorter than its Content-Length, send it whole")
+	}
+	return &upload{inline: b, size: size}, nil, nil
+}
+
+func tooLarge() *request.Error {
+	return request.Refuse(request.ReasonTooLarge, "the body is over the route's max_body, send a smaller one")
+}
+
+// writeRefusal tells a caller that its request was not run or that its outcome
+// is unknown.
+func (d *Daemon) writeRefusal(hc *fasthttp.RequestCtx, id string, err *request.Error) {
+	d.stats.count(err)
+	body, _ := json.Marshal(refusalBody{
+		Outcome:   err.Outcome.String(),
+		Reason:    string(err.Reason),
+		Remedy:    err.Remedy,
+		RequestID: id,
+	})
+	hc.Response.Reset()
+	hc.SetStatusCode(statusOf(err))
+	hc.SetContentType("application/json")
+	h := &hc.Response.Header
+	h.Set(HeaderOutcome, err.Outcome.String())
+	h.Set(HeaderReason, string(err.Reason))
+	h.Set(HeaderRequestID, id)
+	if err.RetryAfter > 0 {
+		h.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
+	}
+	hc.SetBody(body)
+}
+
+// refusalBody is the JSON body of a refusal or a loss.
+type refusalBody struct {
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason"`
+	Remedy    string `json:"remedy"`
+	RequestID string `json:"request_id"`
+}
+
+// writeCaller passes an answer on. A body that breaks off closes the
+// connection before its declared end, so that the caller sees the cut.
+func (d *Daemon) writeCaller(hc *fasthttp.RequestCtx, e *entry, ans *answer, cancel context.CancelFunc) {
+	d.stats.answered.Add(1)
+	fillAnswer(hc, ans.head, e.call.ID)
+	if !ans.head.BodyFollows {
+		if !hc.IsHead() {
+			hc.SetBody(ans.head.Body)
+		}
+		ans.close(true)
+		cancel()
+		return
+	}
+	hc.SetBodyStream(&closingBody{Reader: ans.body, ans: ans, cancel: cancel}, int(max(ans.head.BodyBytes, -1)))
+}
+
+func fillAnswer(hc *fasthttp.RequestCtx, head *wire.AnswerHead, id string) {
+	hc.Response.Reset()
+	hc.SetStatusCode(int(head.Status))
+	h := &hc.Response.Header
+	h.SetNoDefaultContentType(true)
+	for _, f := range head.Headers {
+		h.Add(f.Name, f.Value)
+	}
+	h.Set(HeaderOutcome, request.Answered.String())
+	h.Set(HeaderRequestID, id)
+	if hc.IsHead() && head.BodyBytes >= 0 {
+		hc.Response.SkipBody = true
+		h.SetContentLength(int(head.BodyBytes))
+	}
+}
+
+// closingBody releases an answer when fasthttp has sent it or given up.
+type closingBody struct {
+	io.Reader
+	ans    *answer
+	cancel context.CancelFunc
+	whole  bool
+}
+
+// Read implements io.Reader.
+func (b *closingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.whole = err == io.EOF
+	return n, err
+}
+
+// WriteTo keeps fasthttp from buffering the whole body.
+func (b *closingBody) WriteTo(w io.Writer) (int64, error) {
+	n, err := io.Copy(w, struct{ io.Reader }{b})
+	if bw, ok := w.(*bufio.Writer); ok && err == nil {
+		err = bw.Flush()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *closingBody) Close() error {
+	b.ans.close(b.whole)
+	b.cancel()
+	return nil
+}
--- /dev/null
+++ b/instance/gatecall.go
@@ -0,0 +1,247 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/backend"
+	"wisteriafold/request"
+	"wisteriafold/wire"
+)
+
+// arrival is a call that has reached the gate of this daemon's backend server.
+type arrival struct {
+	head *wire.CallHead
+	call *request.Call
+
+	// body is called once, after the gate has let the call in. It asks the
+	// sender for a body that was not sent with the head.
+	body func() (io.Reader, error)
+}
+
+// callOf returns the call that a head describes, received at now.
+func callOf(h *wire.CallHead, now time.Time) *request.Call {
+	left := time.Duration(h.RemainingUs) * time.Microsecond
+	return &request.Call{
+		ID:           h.RequestId,
+		Tree:         request.Tree(h.Tree),
+		Organisation: h.Organisation,
+		KeyID:        string(h.KeyId),
+		Route:        h.Route,
+		Service:      h.Service,
+		Importance:   min(request.Importance(h.Importance), request.Critical),
+		Deadline:     now.Add(left),
+		Allowance:    h.Allowance,
+		Idempotent:   h.Idempotent,
+		Depth:        h.Depth,
+		WorkSpent:    h.WorkSpent,
+		BodyBytes:    h.BodyBytes,
+		Remaining:    left,
+	}
+}
+
+// runHere lets a call in at the gate and runs it on the backend server.
+func (d *Daemon) runHere(ctx context.Context, in *arrival) (*answer, *failure) {
+	if err := d.mayArrive(in); err != nil {
+		return nil, d.refused(in, err, nil)
+	}
+	pass, err := d.gate.Enter(ctx, in.call, d.view.Load().weight(in.call.Organisation))
+	if err != nil {
+		return nil, d.refused(in, request.AsError(err), nil)
+	}
+	d.decide(in.call, "gate", d.self.Peer, "admitted", "", "")
+	ctx, cancel := context.WithDeadline(ctx, in.call.Deadline)
+	run := &running{
+		call:      in.call,
+		keyID:     in.head.KeyId,
+		ctx:       ctx,
+		allowance: request.NewAllowance(in.call.Allowance),
+	}
+	d.calls.add(run)
+	w := &work{d: d, in: in, run: run, pass: pass, cancel: cancel, started: d.now()}
+	return w.do()
+}
+
+// mayArrive refuses what this gate must not run whatever its load is.
+func (d *Daemon) mayArrive(in *arrival) *request.Error {
+	if in.head.Service != d.set.Backend.Service {
+		return request.Refuse(request.ReasonUnknownMember, "this daemon serves "+d.set.Backend.Service+", the sender's list of endpoints is old")
+	}
+	// Calls below a running request go on after a withdrawal; new requests do not.
+	if in.call.Depth == 0 && d.view.Load().withdrawn(in.call.KeyID, in.head.Generation) {
+		return request.Refuse(request.ReasonBadKey, "the key has been withdrawn, use a key that is in force")
+	}
+	return nil
+}
+
+func (d *Daemon) refused(in *arrival, err *request.Error, run *running) *failure {
+	h := headOf(err)
+	d.report(h, run)
+	if run == nil {
+		h.AllowanceLeft = in.call.Allowance
+	}
+	d.decide(in.call, "gate", d.self.Peer, string(err.Reason), "", err.Outcome.String())
+	return &failure{err: err, head: h}
+}
+
+// report fills in the load report and the feedback that ride on every answer.
+func (d *Daemon) report(h *wire.AnswerHead, run *running) {
+	r := d.gate.Report()
+	h.GateLevel = uint32(r.Level)
+	h.WorstLevel = h.GateLevel
+	h.QueueDepth = uint32(r.Queued)
+	h.InFlight = uint32(r.InFlight)
+	h.Limit = uint32(r.Limit)
+	h.ServiceUs = uint32(r.ServiceTime.Microseconds())
+	h.Draining = r.Draining
+	if run == nil {
+		return
+	}
+	h.WorstLevel = max(h.WorstLevel, run.worst.Load())
+	h.AllowanceLeft = run.allowance.Left()
+	h.RetriedBelow = run.childRefused.Load()
+	h.Attempts = 1 + run.attempts.Load()
+}
+
+// work is one run of a call on the backend server.
+type work struct {
+	d       *Daemon
+	in      *arrival
+	run     *running
+	pass    *backend.Pass
+	cancel  context.CancelFunc
+	started time.Time
+}
+
+// finish releases everything that the run holds.
+func (w *work) finish(res backend.Result) {
+	w.cancel()
+	w.d.calls.remove(w.run)
+	res.Latency = w.d.now().Sub(w.started)
+	w.pass.Done(res)
+}
+
+func (w *work) fail(err *request.Error, res backend.Result) *failure {
+	f := w.d.refused(w.in, err, w.run)
+	w.finish(res)
+	return f
+}
+
+func (w *work) do() (*answer, *failure) {
+	body, err := w.in.body()
+	if err != nil {
+		return nil, w.fail(request.AsError(err), backend.Result{Cancelled: true})
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	w.fill(req, body)
+	x, err := w.d.client.Do(w.run.ctx, req)
+	if err != nil {
+		e := request.AsError(err)
+		return nil, w.fail(e, resultOf(e))
+	}
+	if e := w.declaredShed(x.Response); e != nil {
+		x.Close()
+		return nil, w.fail(e, backend.Result{Shed: true})
+	}
+	return w.answer(x)
+}
+
+func resultOf(e *request.Error) backend.Result {
+	return backend.Result{
+		Failed:    e.Reason == request.ReasonBroken || e.Reason == request.ReasonDeadline || e.Reason == request.ReasonNoEndpoint,
+		Cancelled: e.Reason == request.ReasonCancelled,
+	}
+}
+
+// declaredShed returns the refusal when the backend server says that it did not
+// run the call. It is believed only when no call below has run.
+func (w *work) declaredShed(resp *fasthttp.Response) *request.Error {
+	if string(resp.Header.Peek(HeaderOutcome)) != request.NotRun.String() {
+		return nil
+	}
+	if w.run.childRan.Load() {
+		return request.Lose(request.ReasonBackendShed, "the backend server says that it did not run the call, but calls below it ran", nil)
+	}
+	e := request.Refuse(request.ReasonBackendShed, "the backend server is full, try again later")
+	e.RetryAfter = shedRetryAfter
+	return e
+}
+
+// fill makes the HTTP request for the backend server. The key is not in head.
+func (w *work) fill(req *fasthttp.Request, body io.Reader) {
+	h, c := w.in.head, w.in.call
+	req.Header.SetMethod(h.Method)
+	req.SetRequestURI(h.Path)
+	for _, f := range h.Headers {
+		req.Header.Add(f.Name, f.Value)
+	}
+	if len(req.Header.Host()) == 0 {
+		req.Header.SetHost(c.Service)
+	}
+	req.UseHostHeader = true
+	req.Header.Set(HeaderCall, w.run.token)
+	req.Header.Set(HeaderRequestID, c.ID)
+	req.Header.Set(HeaderOrganisation, c.Organisation)
+	req.Header.Set(HeaderImportance, c.Importance.String())
+	left := c.Deadline.Sub(w.d.now())
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	if h.BodyFollows || len(h.Body) > 0 {
+		req.SetBodyStream(body, int(h.BodyBytes))
+	}
+}
+
+// answer turns the response into an answer: small bodies are read at once, so
+// that the slot is free before the caller has them; large ones stream.
+func (w *work) answer(x *backend.Exchange) (*answer, *failure) {
+	resp := x.Response
+	size := int64(resp.Header.ContentLength())
+	head := &wire.AnswerHead{
+		Outcome:   wire.Outcome_OUTCOME_ANSWERED,
+		Status:    uint32(resp.StatusCode()),
+		Headers:   responseHeaders(&resp.Header),
+		BodyBytes: max(size, -1),
+	}
+	failed := resp.StatusCode() >= fasthttp.StatusInternalServerError
+	stream := resp.BodyStream()
+	if resp.SkipBody || stream == nil || (size >= 0 && size <= wire.ChunkBytes) {
+		return w.small(x, head, stream, failed)
+	}
+	w.d.report(head, w.run)
+	head.BodyFollows = true
+	return newAnswer(head, stream, func(complete bool) {
+		if !complete {
+			x.Abandon()
+		}
+		x.Close()
+		w.finish(backend.Result{Failed: failed, Cancelled: !complete})
+	}), nil
+}
+
+func (w *work) small(x *backend.Exchange, head *wire.AnswerHead, stream io.Reader, failed bool) (*answer, *failure) {
+	if stream != nil && !x.Response.SkipBody {
+		b, err := io.ReadAll(stream)
+		if err != nil {
+			x.Abandon()
+			x.Close()
+			return nil, w.fail(lostAnswer(w.run.ctx, err), backend.Result{Failed: true})
+		}
+		head.Body = b
+	}
+	x.Close()
+	w.finish(backend.Result{Failed: failed})
+	w.d.report(head, w.run)
+	return newAnswer(head, nil, func(bool) {}), nil
+}
+
+// lostAnswer tells why the rest of an answer did not come.
+func lostAnswer(ctx context.Context, cause error) *request.Error {
+	if ctx.Err() != nil {
+		return request.Lose(request.ReasonDeadline, "the rest of the answer did not come in time", cause)
+	}
+	return request.Lose(request.ReasonBroken, "the backend server cut its answer short, look up its log", cause)
+}
--- /dev/null
+++ b/instance/remote.go
@@ -0,0 +1,145 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriafold/link"
+	"wisteriafold/request"
+	"wisteriafold/service"
+	"wisteriafold/wire"
+)
+
+// end is the frame that closes a message whose body travelled in its head.
+var end = &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}}
+
+// sendRemote sends one attempt to the daemon beside ep and reads its answer.
+func (d *Daemon) sendRemote(ctx context.Context, ep service.Endpoint, out *outgoing) (*answer, *failure) {
+	s, err := d.links.Open(ctx, ep.Peer)
+	if err != nil {
+		e := request.Refuse(request.ReasonUnreachable, "daemon "+ep.Peer+" cannot be reached, start it or wait until its endpoint expires")
+		e.Cause = err
+		return nil, &failure{err: e, transport: true}
+	}
+	frames := []*wire.Frame{{Kind: &wire.Frame_Call{Call: out.head}}}
+	if !out.head.BodyFollows {
+		frames = append(frames, end)
+	}
+	if err := s.Write(frames...); err != nil {
+		_ = s.Close()
+		return nil, lostOnLink(ctx, err)
+	}
+	return d.readAnswer(ctx, s, out)
+}
+
+// readAnswer waits for the head of the answer, sending the body when the gate
+// asks for it.
+func (d *Daemon) readAnswer(ctx context.Context, s *link.Stream, out *outgoing) (*answer, *failure) {
+	var sent chan struct{}
+	release := func() {
+		_ = s.Close()
+		if sent != nil {
+			<-sent
+		}
+	}
+	for {
+		f, err := s.Read()
+		if err != nil {
+			release()
+			return nil, lostOnLink(ctx, err)
+		}
+		switch k := f.Kind.(type) {
+		case *wire.Frame_Proceed:
+			if sent == nil && out.head.BodyFollows {
+				sent = make(chan struct{})
+				go sendBody(s, out.body.reader(), sent)
+			}
+		case *wire.Frame_Answer:
+			return d.received(s, k.Answer, release)
+		default:
+			release()
+			return nil, lostOnLink(ctx, eris.New("the peer sent a frame that does not belong here"))
+		}
+	}
+}
+
+// sendBody sends the body while the answer is awaited: a backend server may
+// answer before it has read everything.
+func sendBody(s *link.Stream, body io.Reader, sent chan<- struct{}) {
+	defer close(sent)
+	if copyChunks(s, body) != nil {
+		_ = s.Close()
+	}
+}
+
+func (d *Daemon) received(s *link.Stream, h *wire.AnswerHead, release func()) (*answer, *failure) {
+	if err := errorOf(h); err != nil {
+		release()
+		return nil, &failure{err: err, head: h}
+	}
+	if !h.BodyFollows {
+		release()
+		return newAnswer(h, nil, func(bool) {}), nil
+	}
+	return newAnswer(h, &frameReader{src: s}, func(bool) { release() }), nil
+}
+
+// lostOnLink tells that nothing is known about the outcome of a call whose
+// connection broke or whose time ran out.
+func lostOnLink(ctx context.Context, err error) *failure {
+	var notSent *link.NotSentError
+	if eris.As(err, &notSent) {
+		e := request.Refuse(request.ReasonUnreachable, "the call could not be handed over")
+		e.Cause = err
+		return &failure{err: e, transport: true}
+	}
+	switch {
+	case eris.Is(ctx.Err(), context.DeadlineExceeded), eris.Is(err, context.DeadlineExceeded):
+		return &failure{err: request.Lose(request.ReasonDeadline, "no answer came in time, the work may have been done", err)}
+	case ctx.Err() != nil:
+		return &failure{err: request.Lose(request.ReasonCancelled, "the caller went away", err)}
+	default:
+		return &failure{
+			err:       request.Lose(request.ReasonBroken, "the connection between two daemons broke after the call was sent", err),
+			transport: true,
+		}
+	}
+}
+
+// ServeCall implements link.Handler: a call from another daemon.
+func (d *Daemon) ServeCall(ctx context.Context, s *link.Stream, first *wire.Frame) {
+	k, ok := first.Kind.(*wire.Frame_Call)
+	if !ok {
+		return // the stream closes: the peer does not speak this protocol
+	}
+	in := &arrival{head: k.Call, call: callOf(k.Call, d.now())}
+	in.body = func() (io.Reader, error) {
+		if !k.Call.BodyFollows {
+			return (&upload{inline: k.Call.Body}).reader(), nil
+		}
+		if err := s.Write(&wire.Frame{Kind: &wire.Frame_Proceed{Proceed: &wire.Proceed{}}}); err != nil {
+			return nil, request.Refuse(request.ReasonCancelled, "the sender of the body went away")
+		}
+		return &frameReader{src: s}, nil
+	}
+	ans, fail := d.runHere(ctx, in)
+	if fail != nil {
+		_ = s.Write(&wire.Frame{Kind: &wire.Frame_Answer{Answer: fail.head}}, end)
+		return
+	}
+	ans.close(d.writeAnswer(s, ans))
+}
+
+// writeAnswer sends an answer and reports whether all of it was sent.
+func (d *Daemon) writeAnswer(s *link.Stream, ans *answer) bool {
+	head := &wire.Frame{Kind: &wire.Frame_Answer{Answer: ans.head}}
+	if !ans.head.BodyFollows {
+		return s.Write(head, end) == nil
+	}
+	return s.Write(head) == nil && copyChunks(s, ans.body) == nil
+}
+
+func millis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/request/call.go
+++ b/request/call.go
@@ -12,6 +12,7 @@
 	ID           string        // id of the outside request, for logs and explain
 	Tree         Tree          // the tree that the call belongs to
 	Organisation string        // owner of the key, empty on an open route
+	KeyID        string        // identifies the key without revealing it, empty on an open route
 	Route        string        // name of the route that the request entered by
 	Service      string        // service that is called
 	Importance   Importance    // class of the whole tree
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -49,6 +49,7 @@
 	ReasonDraining      Reason = "draining"        // the backend server is leaving
 	ReasonBackendShed   Reason = "backend-shed"    // the backend server declared that it did not run it
 	ReasonNoEndpoint    Reason = "no-endpoint"     // no endpoint of the service is known or reachable
+	ReasonUnreachable   Reason = "unreachable"     // the daemon beside the endpoint takes no connection
 	ReasonCancelled     Reason = "cancelled"       // the caller went away
 	ReasonRetryBudget   Reason = "retry-budget"    // no extra attempt was left
 	ReasonBroken        Reason = "broken"          // the connection broke after sending
--- a/service/retry.go
+++ b/service/retry.go
@@ -107,7 +107,7 @@
 	switch r {
 	case request.ReasonQueueFull, request.ReasonQueueTimeout, request.ReasonDraining,
 		request.ReasonBackendShed, request.ReasonBroken, request.ReasonShutdown,
-		request.ReasonBusy, request.ReasonUnknownMember:
+		request.ReasonBusy, request.ReasonUnknownMember, request.ReasonUnreachable:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/standin/backend.go
@@ -0,0 +1,253 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/backend"
+	"wisteriafold/instance"
+)
+
+// Header fields between the stand-ins.
+const (
+	HeaderNonce = "Standin-Nonce" // echoed in the answer, ties an answer to its request
+	HeaderOrder = "Standin-Order" // identity of a non-idempotent order, counted by the ledger
+	HeaderChain = "Standin-Chain" // services still to call, separated by commas
+)
+
+// BackendConfig configures a backend server stand-in.
+type BackendConfig struct {
+	Service     string        // name that it answers with
+	Slots       int           // calls that it runs at once; more are shed
+	Connections int           // connections that it accepts at once
+	ServiceTime time.Duration // mean of the work of one call, exponentially distributed
+	ColdFor     time.Duration // time after the start in which calls take ColdFactor as long
+	ColdFactor  float64       // slowdown while cold
+	ReportLag   time.Duration // age of what the load endpoint reports
+	Egress      string        // egress listener of the daemon beside it, empty when it calls nothing
+	Seed        uint64        // of the service times
+}
+
+const (
+	sliceOfWork  = 5 * time.Millisecond // a cancelled call is noticed after this much work
+	childTimeout = 30 * time.Second
+	padBytes     = 64
+)
+
+// Backend is a backend server stand-in. It honours deadlines and cancellation,
+// sheds when its slots are full, starts cold, drains, and reports its load late.
+type Backend struct {
+	cfg     BackendConfig
+	ledger  *Ledger
+	started time.Time
+	slots   chan struct{}
+	client  *fasthttp.Client
+	srv     *fasthttp.Server
+
+	slow     atomic.Int64 // factor on the service time, in percent
+	draining atomic.Bool
+	report   atomic.Int64 // lagging count of busy slots
+	stop     chan struct{}
+	wg       sync.WaitGroup
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// NewBackend returns a backend server stand-in that is not yet serving.
+func NewBackend(cfg BackendConfig, ledger *Ledger) *Backend {
+	b := &Backend{
+		cfg:    cfg,
+		ledger: ledger,
+		slots:  make(chan struct{}, cfg.Slots),
+		client: &fasthttp.Client{ReadTimeout: childTimeout, WriteTimeout: childTimeout, MaxConnsPerHost: 4 * cfg.Slots, MaxIdemponentCallAttempts: 1},
+		rng:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		stop:   make(chan struct{}),
+	}
+	b.slow.Store(100)
+	b.srv = &fasthttp.Server{
+		Handler:            b.handle,
+		Concurrency:        cfg.Connections,
+		StreamRequestBody:  true,
+		MaxRequestBodySize: 1 << 20,
+		Name:               "standin",
+		CloseOnShutdown:    true,
+		Logger:             quiet{},
+	}
+	return b
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve accepts connections until Close.
+func (b *Backend) Serve(l net.Listener) error {
+	b.started = time.Now()
+	b.wg.Add(1)
+	go b.lagReport()
+	return b.srv.Serve(l)
+}
+
+// Slow multiplies the service time by factor from now on; 1 is normal.
+func (b *Backend) Slow(factor float64) { b.slow.Store(int64(factor * 100)) }
+
+// Drain makes the health endpoint say that the server is leaving.
+func (b *Backend) Drain() { b.draining.Store(true) }
+
+// Close stops the server after the calls in progress.
+func (b *Backend) Close() error {
+	close(b.stop)
+	err := b.srv.Shutdown()
+	b.wg.Wait()
+	b.client.CloseIdleConnections()
+	return err
+}
+
+func (b *Backend) lagReport() {
+	defer b.wg.Done()
+	t := time.NewTicker(max(b.cfg.ReportLag, 100*time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-b.stop:
+			return
+		case <-t.C:
+			b.report.Store(int64(len(b.slots)))
+		}
+	}
+}
+
+func (b *Backend) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		b.health(ctx)
+		return
+	case "/loadz":
+		fmt.Fprintf(ctx, `{"busy":%d,"slots":%d}`, b.report.Load(), b.cfg.Slots)
+		return
+	}
+	b.lookForKey(ctx)
+	select {
+	case b.slots <- struct{}{}:
+	default:
+		shed(ctx, "all slots are busy")
+		return
+	}
+	defer func() { <-b.slots }()
+	b.serve(ctx)
+}
+
+func (b *Backend) health(ctx *fasthttp.RequestCtx) {
+	if b.draining.Load() {
+		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ok")
+}
+
+// lookForKey counts requests that carry something that looks like a key.
+func (b *Backend) lookForKey(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Request.Header
+	if len(h.Peek(instance.HeaderKey)) > 0 || len(h.Peek(fasthttp.HeaderAuthorization)) > 0 {
+		b.ledger.KeySeen()
+	}
+}
+
+func shed(ctx *fasthttp.RequestCtx, why string) {
+	ctx.Error(why, fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(instance.HeaderOutcome, "not-run")
+}
+
+func (b *Backend) serve(ctx *fasthttp.RequestCtx) {
+	work := b.workTime()
+	if left := deadlineOf(ctx); left > 0 && work > left {
+		shed(ctx, "the deadline leaves too little time")
+		return
+	}
+	b.ledger.Run(b.cfg.Service, string(ctx.Request.Header.Peek(HeaderOrder)))
+	if !b.work(ctx, work) {
+		ctx.Error("cancelled", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	size, err := drainBody(ctx)
+	if err != nil {
+		ctx.Error("body cut short", fasthttp.StatusBadRequest)
+		return
+	}
+	if !b.callNext(ctx) {
+		return
+	}
+	b.answer(ctx, size)
+}
+
+// answer echoes the nonce at both ends of the body, so that a cut or mixed-up
+// answer shows.
+func (b *Backend) answer(ctx *fasthttp.RequestCtx, size int64) {
+	nonce := string(ctx.Request.Header.Peek(HeaderNonce))
+	pad := make([]byte, padBytes)
+	for i := range pad {
+		pad[i] = 'x'
+	}
+	ctx.SetBodyString(nonce + "\n" + b.cfg.Service + "\n" + strconv.FormatInt(size, 10) + "\n" + string(pad) + "\n" + nonce)
+}
+
+func (b *Backend) workTime() time.Duration {
+	b.mu.Lock()
+	x := b.rng.ExpFloat64()
+	b.mu.Unlock()
+	f := float64(b.slow.Load()) / 100
+	if time.Since(b.started) < b.cfg.ColdFor {
+		f *= b.cfg.ColdFactor
+	}
+	return time.Duration(x * f * float64(b.cfg.ServiceTime))
+}
+
+// work spends d and reports false when the caller went away meanwhile.
+func (b *Backend) work(ctx *fasthttp.RequestCtx, d time.Duration) bool {
+	for d > 0 {
+		s := min(d, sliceOfWork)
+		time.Sleep(s)
+		d -= s
+		if d > 0 && !backend.Alive(ctx.Conn()) {
+			return false
+		}
+	}
+	return true
+}
+
+func deadlineOf(ctx *fasthttp.RequestCtx) time.Duration {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(instance.HeaderDeadline)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func drainBody(ctx *fasthttp.RequestCtx) (int64, error) {
+	r := ctx.RequestBodyStream()
+	if r == nil {
+		return int64(len(ctx.PostBody())), nil
+	}
+	buf := make([]byte, 32<<10)
+	var n int64
+	for {
+		k, err := r.Read(buf)
+		n += int64(k)
+		if eris.Is(err, io.EOF) {
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+}
