Configuration types, strict loading, routes and keys

Cause: operators declare the whole fleet in files; a fault in them must be found before anything is in force, and all faults at once.

--- /dev/null
+++ b/config/configuration.go
@@ -0,0 +1,63 @@
+package config
+
+import "sort"
+
+// Configuration is everything that operators declare, complete and checked.
+// It is not changed once it is loaded. Lists are ordered by name.
+type Configuration struct {
+	Organisations []Organisation
+	Keys          []Key
+	Services      []Service
+	Routes        []Route
+	DataCentres   []DataCentre
+	Links         []Link
+	Settings      Settings
+}
+
+// ID returns the link's name: its regions in order.
+func (l *Link) ID() string {
+	a, b := l.Regions[0], l.Regions[1]
+	if a > b {
+		a, b = b, a
+	}
+	return a + "+" + b
+}
+
+// Share returns the fraction of the organisation's rate and burst that the
+// data centre starts with, from 0 to 1. Over all data centres the fractions
+// add up to at most 1.
+func (c *Configuration) Share(o *Organisation, dataCentre string) float64 {
+	if len(o.Split) > 0 {
+		return o.Split[dataCentre] / percent
+	}
+	for i := range c.DataCentres {
+		if c.DataCentres[i].Name == dataCentre {
+			return 1 / float64(len(c.DataCentres))
+		}
+	}
+	return 0
+}
+
+// IdempotentFor reports whether a second run of a request does no harm.
+func (r *Route) IdempotentFor(method string) bool {
+	if r.Idempotent != nil {
+		return *r.Idempotent
+	}
+	switch method {
+	case "GET", "HEAD", "PUT", "DELETE", "OPTIONS":
+		return true
+	}
+	return false
+}
+
+const percent = 100
+
+// sortLists brings the lists into the order that all readers rely on.
+func (c *Configuration) sortLists() {
+	sort.Slice(c.Organisations, func(i, j int) bool { return c.Organisations[i].Name < c.Organisations[j].Name })
+	sort.Slice(c.Keys, func(i, j int) bool { return c.Keys[i].Digest < c.Keys[j].Digest })
+	sort.Slice(c.Services, func(i, j int) bool { return c.Services[i].Name < c.Services[j].Name })
+	sort.Slice(c.Routes, func(i, j int) bool { return c.Routes[i].Name < c.Routes[j].Name })
+	sort.Slice(c.DataCentres, func(i, j int) bool { return c.DataCentres[i].Name < c.DataCentres[j].Name })
+	sort.Slice(c.Links, func(i, j int) bool { return c.Links[i].ID() < c.Links[j].ID() })
+}
--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,68 @@
+package config
+
+// Snapshot is one generation of the configuration, immutable and complete.
+// Traffic reads it without locks.
+type Snapshot struct {
+	Generation    uint64 // grows with each accepted apply, 0 before the first
+	Version       uint64 // commit sequence number of the generation in the store
+	Digest        uint64 // over the content of all objects
+	Configuration *Configuration
+
+	router        router
+	organisations map[string]*Organisation
+	services      map[string]*Service
+	dataCentres   map[string]*DataCentre
+}
+
+// NewSnapshot prepares a configuration for lookups.
+func NewSnapshot(generation, version, digest uint64, c *Configuration) *Snapshot {
+	s := &Snapshot{
+		Generation:    generation,
+		Version:       version,
+		Digest:        digest,
+		Configuration: c,
+		router:        newRouter(c),
+		organisations: make(map[string]*Organisation, len(c.Organisations)),
+		services:      make(map[string]*Service, len(c.Services)),
+		dataCentres:   make(map[string]*DataCentre, len(c.DataCentres)),
+	}
+	for i := range c.Organisations {
+		s.organisations[c.Organisations[i].Name] = &c.Organisations[i]
+	}
+	for i := range c.Services {
+		s.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.DataCentres {
+		s.dataCentres[c.DataCentres[i].Name] = &c.DataCentres[i]
+	}
+	return s
+}
+
+// EmptySnapshot is what is in force before anything was applied.
+func EmptySnapshot() *Snapshot {
+	return NewSnapshot(0, 0, 0, &Configuration{Settings: newSettings()})
+}
+
+// Route returns the route that takes the method and has the longest prefix of
+// path, whole segments only. path has no query. It does not allocate.
+func (s *Snapshot) Route(method, path []byte) (*Match, bool) { return s.router.lookup(method, path) }
+
+// Organisation returns the organisation of that name, or nil.
+func (s *Snapshot) Organisation(name string) *Organisation { return s.organisations[name] }
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// DataCentre returns the data centre of that name, or nil.
+func (s *Snapshot) DataCentre(name string) *DataCentre { return s.dataCentres[name] }
+
+// Link returns the link between two regions, or nil.
+func (s *Snapshot) Link(a, b string) *Link {
+	for i := range s.Configuration.Links {
+		l := &s.Configuration.Links[i]
+		if (l.Regions[0] == a && l.Regions[1] == b) || (l.Regions[0] == b && l.Regions[1] == a) {
+			return l
+		}
+	}
+	return nil
+}
