service: failures from below and deadlines are not held against an endpoint

Cause: a caller cannot tell from a passed deadline, nor from a failure answer, whether the endpoint or a service below it is to blame; five in a row would have ejected healthy parents of a failing deep service. The peak average also kept an endpoint that had once been slow out of use for good.

Change: such attempts count by their time only. What calls have shown fades while nothing is in flight, so that one attempt at a time tries the endpoint again. Links are charged for both directions, the answer by its smoothed size.

--- a/service/locality.go
+++ b/service/locality.go
@@ -45,7 +45,7 @@
 // Link is the byte budget of the link to another region. Implementations are
 // safe for concurrent use and do not block.
 type Link interface {
-	// Take charges n bytes to the link to region and reports whether the
-	// budget had room; without room nothing is charged.
-	Take(region string, n int64) bool
+	// Take charges out bytes towards region and back bytes from it, and
+	// reports whether both budgets had room; without room nothing is charged.
+	Take(region string, out, back int64) bool
 }
--- a/service/observation.go
+++ b/service/observation.go
@@ -8,7 +8,9 @@
 // Results of an attempt.
 const (
 	Succeeded      Result = iota // the backend server answered
-	Failed                       // the backend server answered with a failure, or ran out of time
+	Failed                       // the backend server answered with a failure of its own
+	FailedBelow                  // it failed because a call that it made failed; only the time counts
+	Expired                      // the deadline passed; a service below may be to blame, so only the time counts
 	Refused                      // the gate did not run it: overloaded or out of time
 	RefusedLeaving               // the gate did not run it: its backend server is draining
 	ConnectionLost               // the connection was lost while a fresh dial works
@@ -20,6 +22,7 @@
 type Observation struct {
 	Result Result
 	Took   time.Duration // from sending to the end of the answer
+	Bytes  int64         // size of the answer's body, 0 when there was none
 	Report *Load         // load report carried on the answer, nil when there was none
 }
 
--- a/service/observe.go
+++ b/service/observe.go
@@ -15,6 +15,9 @@
 		s.succeed(now, o.Took, c)
 	case Failed:
 		s.fail(now, o.Took, c, mayEject)
+	case FailedBelow, Expired:
+		s.lost = 0
+		s.fold(now, 0, o.Took, c)
 	case Refused:
 		s.lost = 0
 		s.fold(now, 1, 0, c)
@@ -89,15 +92,13 @@
 	s.shownAt.Store(now)
 }
 
-// foldTime updates the smoothed and the peak service time.
+// foldTime updates the smoothed time of attempts.
 func (s *state) foldTime(shown, old float64) {
-	if s.service.load() == 0 {
-		s.service.store(shown)
-		s.peak.store(shown)
+	if s.took.load() == 0 {
+		s.took.store(shown)
 		return
 	}
-	s.service.store(s.service.load()*old + shown*(1-old))
-	s.peak.store(s.peak.load()*old + shown*(1-old))
+	s.took.store(s.took.load()*old + shown*(1-old))
 }
 
 // weight returns the weight that the old averages keep against one new
--- a/service/pick.go
+++ b/service/pick.go
@@ -8,9 +8,11 @@
 	"wisteriafold/request"
 )
 
-// answerBytes is the size charged to a link for the answer and the framing of
-// a call whose answer is not yet known.
-const answerBytes = 4 << 10
+// Sizes charged to a link besides the body of the call.
+const (
+	headBytes   = 512     // head and framing, each way
+	answerBytes = 4 << 10 // body of an answer while none has been seen
+)
 
 // candidate is the cheapest endpoint drawn in one locality.
 type candidate struct {
@@ -184,8 +186,9 @@
 	if c.state.locality != OtherRegion || w.picker.link == nil {
 		return true
 	}
-	n := max(w.call.BodyBytes, 0) + answerBytes
-	if w.picker.link.Take(c.state.endpoint.Region, n) {
+	out := max(w.call.BodyBytes, 0) + headBytes
+	back := w.picker.answer.Load() + headBytes
+	if w.picker.link.Take(c.state.endpoint.Region, out, back) {
 		return true
 	}
 	w.decision.pass(c.state.endpoint.Peer, SkipLinkBudget, time.Duration(c.cost))
--- a/service/picker.go
+++ b/service/picker.go
@@ -15,6 +15,7 @@
 	seed   uint64
 	start  time.Time
 	link   Link
+	answer atomic.Int64 // smoothed size of an answer's body, bytes
 
 	set  sync.Mutex // serialises SetEndpoints
 	view atomic.Pointer[view]
@@ -31,6 +32,7 @@
 func NewPicker(start time.Time, c Config, self Location, seed uint64) *Picker {
 	p := &Picker{config: c, self: self, seed: seed, start: start}
 	p.view.Store(&view{})
+	p.answer.Store(answerBytes)
 	return p
 }
 
@@ -82,8 +84,7 @@
 	defer from.mu.Unlock()
 	s.failures, s.lost, s.ejections = from.failures, from.lost, from.ejections
 	s.observedAt = from.observedAt
-	s.service.store(from.service.load())
-	s.peak.store(from.peak.load())
+	s.took.store(from.took.load())
 	s.loss.store(from.loss.load())
 	s.shownAt.Store(from.shownAt.Load())
 	s.passUntil.Store(from.passUntil.Load())
@@ -125,10 +126,23 @@
 	if s.inFlight.Add(-1) < 0 {
 		s.inFlight.Add(1) // begun before the endpoint was replaced
 	}
+	p.size(o.Bytes)
 	t := p.since(now)
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
 }
 
+// answerWeight is the part by which one answer moves the smoothed size.
+const answerWeight = 16
+
+// size folds the size of one answer into the smoothed size. An update that is
+// lost to a concurrent one does no harm.
+func (p *Picker) size(n int64) {
+	if n > 0 {
+		old := p.answer.Load()
+		p.answer.Store(old + (n-old)/answerWeight)
+	}
+}
+
 // since returns the time on the Picker's own clock, ns.
 func (p *Picker) since(now time.Time) int64 { return int64(now.Sub(p.start)) }
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -173,7 +173,7 @@
 
 type emptyLink struct{}
 
-func (emptyLink) Take(string, int64) bool { return false }
+func (emptyLink) Take(string, int64, int64) bool { return false }
 
 func TestLinkWithoutBytesStopsSpill(t *testing.T) {
 	p := newPicker(DefaultConfig(), endpoints("k1", "kumamoto", 1))
--- a/service/state.go
+++ b/service/state.go
@@ -33,8 +33,7 @@
 	ejections  int   // consecutive ejections, for the doubling
 	observedAt int64 // time of the last observation, ns
 
-	service    atomicFloat  // smoothed time of answered attempts less latency, ns
-	peak       atomicFloat  // like service, but follows a rise at once, ns
+	took       atomicFloat  // smoothed time of attempts less network latency, ns
 	loss       atomicFloat  // smoothed ratio of failed and refused attempts
 	shownAt    atomic.Int64 // time of the last observation, ns
 	passUntil  atomic.Int64 // not used before this time, ns
@@ -83,21 +82,30 @@
 // cost returns the expected time of one attempt in ns, latency included.
 func (s *state) cost(now int64, c *Config) float64 {
 	r := s.freshReport(now, c.ReportTTL)
-	limit := s.limit(r)
-	fade := decay(now-s.shownAt.Load(), c.Smoothing)
-	served := s.service.load()
-	if served == 0 && r != nil {
-		served = float64(r.Service)
+	fade := s.fade(now, c)
+	prior := float64(c.InitialService)
+	if r != nil && r.Service > 0 {
+		prior = float64(r.Service)
 	}
-	if served == 0 {
-		served = float64(c.InitialService)
+	shown := prior
+	if took := s.took.load(); took > 0 {
+		shown += (took - prior) * fade
 	}
-	predicted := served * (1 + s.outstanding(r)/limit)
-	shown := s.peak.load() * fade
+	predicted := min(prior, shown) * (1 + s.outstanding(r)/s.limit(r))
 	wait := max(predicted, shown)
 	return float64(c.Latency[s.locality]) + wait + s.loss.load()*fade*float64(c.AttemptPrice)
 }
 
+// fade returns the weight of what calls have shown. It falls while the
+// endpoint is not used, so that one which was slow or failing is tried again.
+// It does not fall while an attempt is on the way: that one is the trial.
+func (s *state) fade(now int64, c *Config) float64 {
+	if s.inFlight.Load() > 0 {
+		return 1
+	}
+	return decay(now-s.shownAt.Load(), c.Smoothing)
+}
+
 // decay returns the weight that remains after an age of ns.
 func decay(age int64, constant time.Duration) float64 {
 	if age <= 0 || constant <= 0 {
