Operator tool and stand-ins in progress

Cause: the whole path needs callers, backend servers and an operator's view. Change: stand-ins of backend server, callers and platform as commands, status, explain and key new of the operator tool.

--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"wisteriafold/platform/httpapi"
+	"wisteriafold/platform/memory"
+	"wisteriafold/standin"
+)
+
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+func platformCommand() *cobra.Command {
+	var listen string
+	c := &cobra.Command{
+		Use:     "platform",
+		Short:   "Table service and object store in memory, over HTTP",
+		Example: "  standin platform --listen 127.0.0.1:6000",
+		Args:    cobra.NoArgs,
+	}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:6000", "address to serve on")
+	c.RunE = func(*cobra.Command, []string) error {
+		ln, err := net.Listen("tcp", listen)
+		if err != nil {
+			return eris.Wrap(err, "--listen: free the address or name another")
+		}
+		store := memory.New()
+		srv := httpapi.NewServer(httpapi.NewHandler(store, store.Objects(), store))
+		ctx, stop := interrupted()
+		defer stop()
+		go func() {
+			<-ctx.Done()
+			_ = srv.Shutdown()
+		}()
+		return srv.Serve(ln)
+	}
+	return c
+}
+
+func backendCommand() *cobra.Command {
+	var cfg standin.BackendConfig
+	var listen string
+	c := &cobra.Command{
+		Use:     "backend",
+		Short:   "Backend server that works for a while and calls further services",
+		Example: "  standin backend --service archive --listen 127.0.0.1:9001 --egress 127.0.0.1:7101 --slots 50 --connections 400",
+		Args:    cobra.NoArgs,
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:9001", "address to serve on")
+	f.StringVar(&cfg.Service, "service", "archive", "name of its service")
+	f.IntVar(&cfg.Slots, "slots", 50, "calls that it runs at once")
+	f.IntVar(&cfg.Connections, "connections", 400, "connections that it accepts")
+	f.DurationVar(&cfg.ServiceTime, "service-time", 10*time.Millisecond, "mean work of a call")
+	f.DurationVar(&cfg.ColdFor, "cold-for", 0, "time after the start in which it is slow")
+	f.Float64Var(&cfg.ColdFactor, "cold-factor", 3, "slowdown while cold")
+	f.DurationVar(&cfg.ReportLag, "report-lag", time.Second, "age of the load that it reports")
+	f.StringVar(&cfg.Egress, "egress", "", "egress listener of its daemon")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the service times")
+	c.RunE = func(*cobra.Command, []string) error {
+		ln, err := net.Listen("tcp", listen)
+		if err != nil {
+			return eris.Wrap(err, "--listen: free the address or name another")
+		}
+		ctx, stop := interrupted()
+		defer stop()
+		b := standin.NewBackend(cfg, standin.NewLedger())
+		go func() {
+			<-ctx.Done()
+			_ = b.Close()
+		}()
+		return b.Serve(ln)
+	}
+	return c
+}
+
+func callerCommand() *cobra.Command {
+	var k standin.Kind
+	var entries []string
+	var span time.Duration
+	var seed uint64
+	c := &cobra.Command{
+		Use:     "caller",
+		Short:   "Callers that send requests at a rate and check the answers",
+		Example: "  standin caller --entry 127.0.0.1:7001 --path /restorations --chain commissions,payments --key wfk_... --rate 100 --for 10s",
+		Args:    cobra.NoArgs,
+	}
+	f := c.Flags()
+	f.StringSliceVar(&entries, "entry", nil, "callers listeners to enter by")
+	f.StringVar(&k.Method, "method", "GET", "HTTP method")
+	f.StringVar(&k.Path, "path", "/", "path")
+	f.StringVar(&k.Chain, "chain", "", "services that the first one calls on, separated by commas")
+	f.StringVar(&k.Key, "key", "", "key of the organisation")
+	f.Float64Var(&k.Rate, "rate", 50, "requests per second")
+	f.BoolVar(&k.Once, "once", false, "send an idempotency key with each request")
+	f.IntVar(&k.BodyBytes, "body", 0, "bytes of the request body")
+	f.IntVar(&k.Retries, "retries", 0, "retries of a caller that was told not-run")
+	f.DurationVar(&span, "for", 10*time.Second, "how long to send")
+	f.Uint64Var(&seed, "seed", 1, "seed of the gaps")
+	_ = c.MarkFlagRequired("entry") // the flag exists
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := interrupted()
+		defer stop()
+		ctx, cancel := context.WithTimeout(ctx, span)
+		defer cancel()
+		k.Name = "requests"
+		callers := standin.NewCallers(entries)
+		callers.Run(ctx, k, seed)
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(struct {
+			standin.Tally
+			Reasons  map[string]int64
+			P50, P99 string
+		}{
+			callers.Tallies()[k.Name], callers.Reasons(),
+			callers.Latency(50).String(), callers.Latency(99).String(),
+		})
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/wisteriafold/key.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"crypto/rand"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"wisteriafold/organisation"
+)
+
+func keyCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "key",
+		Short: "Make keys",
+	}
+	c.AddCommand(&cobra.Command{
+		Use:     "new",
+		Short:   "Make a key and print it with its digest",
+		Long:    "key new prints a key, which goes to the organisation and is kept nowhere else, and its digest, which goes into the configuration.",
+		Example: "  wisteriafold key new",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			key, id, err := organisation.NewKey(rand.Reader)
+			if err != nil {
+				return err
+			}
+			text := fmt.Sprintf("key:    %s\ndigest: %s", key, id)
+			return output(cmd, struct {
+				Key    string `json:"key"`
+				Digest string `json:"digest"`
+			}{key, id.String()}, text)
+		},
+	})
+	return c
+}
--- a/cmd/wisteriafold/main.go
+++ b/cmd/wisteriafold/main.go
@@ -1,4 +1,82 @@
 // Command wisteriafold is the operator's tool.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"wisteriafold/config"
+)
+
+// Exit codes. Scripts rely on them.
+const (
+	exitOK       = 0
+	exitBroken   = 1 // an invariant is broken, or the command failed
+	exitUsage    = 2 // wrong arguments or a wrong configuration
+	exitConflict = 3 // the apply lost a race: nothing of it is in force
+	exitUnknown  = 4 // whether the apply was accepted is not known yet: ask again
+	exitPartial  = 5 // accepted, but not confirmed everywhere in time
+)
+
+// exitError carries an exit code with an error that has been or will be printed.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the text of the error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error.
+func (e *exitError) Unwrap() error { return e.err }
+
+func withCode(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code, err}
+}
+
+func main() { os.Exit(mainCode()) }
+
+func mainCode() int {
+	err := rootCommand().Execute()
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "wisteriafold:", err)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	var problems config.Problems
+	if errors.As(err, &problems) {
+		return exitUsage
+	}
+	return exitBroken
+}
+
+func rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "wisteriafold",
+		Short: "Operate a wisteriafold fleet",
+		Long: `wisteriafold checks and applies configurations, shows what is in force and
+explains what became of a request.
+
+Exit codes: 0 success, 1 failed, 2 wrong arguments or configuration, 3 lost a
+race with another apply, 4 outcome of the apply unknown, 5 accepted but not
+confirmed everywhere in time.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.PersistentFlags().Bool("json", false, "print JSON for programs")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return withCode(exitUsage, err) })
+	root.AddCommand(
+		checkCommand(), applyCommand(), diffCommand(), showCommand(),
+		statusCommand(), explainCommand(), keyCommand(), tryCommand(),
+	)
+	return root
+}
--- /dev/null
+++ b/cmd/wisteriafoldd/main.go
@@ -0,0 +1,81 @@
+// Command wisteriafoldd is the daemon that runs beside one backend server.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"wisteriafold/instance"
+	"wisteriafold/platform/httpapi"
+)
+
+// Exit codes.
+const (
+	exitCut      = 1 // calls were cut at shutdown, or a listener failed
+	exitSettings = 2 // the settings are wrong
+)
+
+func main() {
+	var file string
+	cmd := &cobra.Command{
+		Use:           "wisteriafoldd --settings FILE",
+		Short:         "Daemon beside one backend server",
+		Long:          "wisteriafoldd lets calls in to the backend server beside it and sends its calls to others.\nSIGTERM stops it without cutting a request; a second SIGTERM stops it at once.",
+		Example:       "  wisteriafoldd --settings examples/kurume/daemons/fuk-a-1.yaml",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return run(file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
+	_ = cmd.MarkFlagRequired("settings") // the flag exists
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wisteriafoldd:", err)
+		os.Exit(codeOf(err))
+	}
+}
+
+func codeOf(err error) int {
+	var wrong *instance.SettingsError
+	if errors.As(err, &wrong) {
+		return exitSettings
+	}
+	return exitCut
+}
+
+func run(file string) error {
+	set, err := instance.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	store := httpapi.NewClient(set.Platform.Address, set.Platform.Timeout)
+	defer store.Close()
+	d, err := instance.New(set, instance.Options{Log: os.Stdout, Table: store, Objects: store.Objects()})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if err := d.Start(); err != nil {
+		return err
+	}
+	select {
+	case err := <-d.Failed():
+		d.Kill()
+		return err
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), set.Limits.Shutdown)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return d.Shutdown(ctx)
+}
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,11 @@
 func (d *Daemon) serveCaller(hc *fasthttp.RequestCtx) {
 	started := d.now()
 	d.stats.requests.Add(1)
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	if d.stopping.Load() {
+		hc.SetConnectionClose()
+	}
 	e := &entry{d: d, http: hc, view: d.view.Load()}
 	ctx, cancel := context.WithCancel(d.traffic)
 	defer d.watch.add(hc.Conn(), cancel)()
@@ -253,7 +259,11 @@
 		Remedy:    err.Remedy,
 		RequestID: id,
 	})
+	closing := hc.Response.ConnectionClose()
 	hc.Response.Reset()
+	if closing || err.Reason == request.ReasonTooLarge {
+		hc.SetConnectionClose()
+	}
 	hc.SetStatusCode(statusOf(err))
 	hc.SetContentType("application/json")
 	h := &hc.Response.Header
@@ -287,11 +297,16 @@
 		cancel()
 		return
 	}
-	hc.SetBodyStream(&closingBody{Reader: ans.body, ans: ans, cancel: cancel}, int(max(ans.head.BodyBytes, -1)))
+	d.inFlight.Add(1)
+	hc.SetBodyStream(&closingBody{d: d, Reader: ans.body, ans: ans, cancel: cancel}, int(max(ans.head.BodyBytes, -1)))
 }
 
 func fillAnswer(hc *fasthttp.RequestCtx, head *wire.AnswerHead, id string) {
+	closing := hc.Response.ConnectionClose()
 	hc.Response.Reset()
+	if closing {
+		hc.SetConnectionClose()
+	}
 	hc.SetStatusCode(int(head.Status))
 	h := &hc.Response.Header
 	h.SetNoDefaultContentType(true)
@@ -309,9 +324,11 @@
 // closingBody releases an answer when fasthttp has sent it or given up.
 type closingBody struct {
 	io.Reader
+	d      *Daemon
 	ans    *answer
 	cancel context.CancelFunc
 	whole  bool
+	once   sync.Once
 }
 
 // Read implements io.Reader.
@@ -332,7 +349,10 @@
 
 // Close implements io.Closer.
 func (b *closingBody) Close() error {
-	b.ans.close(b.whole)
-	b.cancel()
+	b.once.Do(func() {
+		b.ans.close(b.whole)
+		b.cancel()
+		b.d.inFlight.Add(-1)
+	})
 	return nil
 }
--- /dev/null
+++ b/instance/operator.go
@@ -0,0 +1,126 @@
+package instance
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"wisteriafold/backend"
+	"wisteriafold/contract"
+	"wisteriafold/link"
+	"wisteriafold/request"
+	"wisteriafold/service"
+)
+
+// Paths of the operator listener.
+const (
+	PathStatus  = "/status"     // Status as JSON
+	PathExplain = "/explain"    // ?id=: the kept decisions about one request
+	PathVars    = "/debug/vars" // expvar of the process
+	PathCounts  = "/counts"     // the daemon's own counters
+)
+
+// Status is what one daemon knows about itself and its surroundings.
+type Status struct {
+	Instance   string           `json:"instance"`
+	Peer       string           `json:"peer"`
+	DataCentre string           `json:"data_centre"`
+	Region     string           `json:"region"`
+	Uptime     time.Duration    `json:"uptime_ns"`
+	Stopping   bool             `json:"stopping"`
+	Config     ConfigStatus     `json:"configuration"`
+	Gate       backend.Report   `json:"gate"`
+	Backend    BackendStatus    `json:"backend"`
+	Routes     []RouteStatus    `json:"routes,omitempty"`
+	Services   []ServiceStatus  `json:"services,omitempty"`
+	Contracts  *contract.Status `json:"contracts,omitempty"`
+	Members    any              `json:"members,omitempty"`
+	Links      link.Stats       `json:"links"`
+	Decisions  DecisionStatus   `json:"decisions"`
+}
+
+// ConfigStatus says which configuration is in force here and how fresh it is.
+type ConfigStatus struct {
+	Generation uint64        `json:"generation"`
+	Age        time.Duration `json:"age_ns"` // since nothing newer was confirmed
+	Keys       int           `json:"keys"`
+}
+
+// BackendStatus is about the backend server beside the daemon.
+type BackendStatus struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Connections int    `json:"open_connections"`
+	Running     int64  `json:"running"`
+	Announced   bool   `json:"announced"`
+}
+
+// RouteStatus is the admission of one route at this entry.
+type RouteStatus struct {
+	Route string `json:"route"`
+	request.EntryReport
+}
+
+// ServiceStatus is a service that this daemon calls.
+type ServiceStatus struct {
+	Service     string             `json:"service"`
+	Endpoints   []service.Endpoint `json:"endpoints"`
+	RetriesLeft int64              `json:"retries_left"`
+}
+
+// DecisionStatus is about the decision log.
+type DecisionStatus struct {
+	Written int64 `json:"written"`
+	Dropped int64 `json:"dropped"`
+}
+
+// serveOperator handles the operator listener.
+func (d *Daemon) serveOperator(hc *fasthttp.RequestCtx) {
+	switch string(hc.Path()) {
+	case PathStatus:
+		st, err := d.Status(statusTimeout)
+		if err != nil {
+			hc.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(hc, st)
+	case PathExplain:
+		writeJSON(hc, d.Explain(string(hc.QueryArgs().Peek("id"))))
+	case PathVars:
+		expvarhandler.ExpvarHandler(hc)
+	case PathCounts:
+		hc.SetContentType("application/json")
+		hc.SetBodyString(d.stats.vars().String())
+	default:
+		hc.Error("no such page: use "+PathStatus+", "+PathExplain+"?id=, "+PathVars+" or "+PathCounts, fasthttp.StatusNotFound)
+	}
+}
+
+// Explain returns the kept decisions about one request, oldest first.
+func (d *Daemon) Explain(id string) []Decision { return d.decisions.explain(id) }
+
+func writeJSON(hc *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		hc.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	hc.SetContentType("application/json")
+	hc.SetBody(b)
+}
+
+// malformed answers what fasthttp could not read as a request.
+func (d *Daemon) malformed(hc *fasthttp.RequestCtx, err error) {
+	e := request.Refuse(request.ReasonBadRequest, "send a well-formed HTTP/1.1 request")
+	status := fasthttp.StatusBadRequest
+	if _, small := err.(*fasthttp.ErrSmallBuffer); small { //nolint:errorlint // fasthttp passes it unwrapped
+		e.Remedy = "the header fields are over limits.header_bytes, send fewer"
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	e.Cause = err
+	d.writeRefusal(hc, "", e)
+	hc.SetStatusCode(status)
+	hc.SetConnectionClose()
+}
