--- /dev/null
+++ b/contract/borrowing.go
@@ -0,0 +1,314 @@
+package contract
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wisteriafold/wire"
+)
+
+const (
+	firstBackoff   = 10 * time.Millisecond
+	daemonRenewals = 5  // asks in two lives of a daemon's loan
+	holderRenewals = 4  // asks in one life of a loan between holders
+	silentAsks     = 3  // unanswered asks after which a lender counts as gone
+	maxWants       = 64 // contracts in one ask
+)
+
+// wish is what an owner wants of one loan when it asks.
+type wish struct {
+	keep Amount  // what it keeps of what it has
+	back float64 // tokens that no longer fit and go back
+	want Amount  // what it wants in all
+	need float64 // tokens that it wants at once
+}
+
+// owner spends what a borrowing has borrowed.
+type owner interface {
+	// wants returns the contracts for which the owner has a wish to that lender
+	// that cannot wait for the next renewal.
+	wants(now time.Time, lender string) []uint64
+
+	// plan gives up what is not needed and says what is wanted.
+	plan(now time.Time, lender string, id uint64, have Amount) wish
+
+	// apply changes a loan and adds tokens to it; it returns the tokens that no
+	// longer fit.
+	apply(now time.Time, s *session, id uint64, from, to Amount, tokens float64) float64
+
+	// renewed tells that all loans of the session last until its new expiry.
+	renewed(s *session)
+
+	// drop ends a loan.
+	drop(now time.Time, s *session, id uint64, from Amount)
+}
+
+// debt is one contract that a session has borrowed.
+type debt struct {
+	Amount
+	asked Amount // what was wanted in all, as last told to the lender
+	told  bool   // the lender has confirmed the last reduction
+}
+
+// session is the borrower's side of all loans from one lender.
+type session struct {
+	lender  string
+	id      uint64
+	number  uint64
+	seen    uint64
+	waiting bool
+	askedAt time.Time
+	until   time.Time // expiry of its loans, zero without any grant
+	due     time.Time // next renewal
+	next    time.Time // earliest urgent ask
+	backoff time.Duration
+	silent  int // asks without an answer, in a row
+	debts   map[uint64]*debt
+	back    map[uint64]float64 // tokens handed back in this session, by contract
+	spare   map[uint64]float64 // tokens per second that the lender could still lend
+	listed  []uint64           // contracts in the outstanding ask
+	hopes   int                // of these, how many are to grow
+}
+
+// borrowing keeps the sessions of one owner with its lenders.
+type borrowing struct {
+	cfg      *Config
+	owner    owner
+	holder   bool
+	send     func(to string, m *wire.Loan)
+	sessions map[string]*session
+	order    []*session // the same sessions, oldest first
+	stopped  bool       // give everything back and ask for nothing
+}
+
+func newBorrowing(cfg *Config, o owner, holder bool, send func(string, *wire.Loan)) *borrowing {
+	return &borrowing{cfg: cfg, owner: o, holder: holder, send: send, sessions: make(map[string]*session)}
+}
+
+func (b *borrowing) renewal() time.Duration {
+	if b.holder {
+		return b.cfg.HolderTTL / holderRenewals
+	}
+	return b.cfg.LoanTTL * 2 / daemonRenewals
+}
+
+func (b *borrowing) session(lender string) *session {
+	s := b.sessions[lender]
+	if s == nil {
+		s = &session{lender: lender, spare: make(map[uint64]float64)}
+		s.restart(b.cfg.Rand)
+		b.sessions[lender] = s
+		b.order = append(b.order, s)
+	}
+	return s
+}
+
+func (s *session) restart(r *rand.Rand) {
+	s.id = r.Uint64()
+	s.number, s.seen = 0, 0
+	s.waiting = false
+	s.until = time.Time{}
+	s.debts = make(map[uint64]*debt)
+	s.back = make(map[uint64]float64)
+	s.listed = nil
+}
+
+// expire ends the loans whose time is over.
+func (b *borrowing) expire(now time.Time) {
+	for _, s := range b.order {
+		if !s.until.IsZero() && !now.Before(s.until) {
+			b.end(now, s)
+		}
+		if s.waiting && now.Sub(s.askedAt) >= b.cfg.Timeout {
+			s.waiting = false
+			s.silent++
+			s.next = now
+		}
+	}
+}
+
+func (b *borrowing) end(now time.Time, s *session) {
+	for _, id := range slices.Sorted(maps.Keys(s.debts)) {
+		b.owner.drop(now, s, id, s.debts[id].Amount)
+	}
+	s.restart(b.cfg.Rand)
+}
+
+// forget ends the session with a lender that is no holder any more, once it
+// has no loans.
+func (b *borrowing) forget(keep func(lender string) bool) {
+	b.order = slices.DeleteFunc(b.order, func(s *session) bool {
+		gone := !keep(s.lender) && len(s.debts) == 0
+		if gone {
+			delete(b.sessions, s.lender)
+		}
+		return gone
+	})
+}
+
+// pump sends the asks that are due.
+func (b *borrowing) pump(now time.Time, lenders []string) {
+	for _, lender := range lenders {
+		b.session(lender)
+	}
+	for _, s := range b.order {
+		if s.waiting {
+			continue
+		}
+		renew := len(s.debts) > 0 && !now.Before(s.due)
+		var urgent []uint64
+		if !b.stopped && !now.Before(s.next) {
+			urgent = b.owner.wants(now, s.lender)
+		}
+		if renew || len(urgent) > 0 {
+			b.ask(now, s, urgent)
+		}
+	}
+}
+
+func (b *borrowing) ask(now time.Time, s *session, urgent []uint64) {
+	ids := slices.Sorted(maps.Keys(s.debts))
+	for _, id := range urgent {
+		if s.debts[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	s.number++
+	ask := &wire.LoanAsk{Session: s.id, Number: s.number, Seen: s.seen, Holder: b.holder}
+	s.listed = s.listed[:0]
+	s.hopes = 0
+	for _, id := range ids {
+		if len(s.listed) == maxWants && s.debts[id] == nil {
+			continue
+		}
+		if w := b.want(now, s, id); w != nil {
+			ask.Wants = append(ask.Wants, w)
+			s.listed = append(s.listed, id)
+		}
+	}
+	s.waiting = true
+	s.askedAt = now
+	s.due = now.Add(b.renewal())
+	s.backoff = min(max(2*s.backoff, firstBackoff), b.renewal())
+	b.send(s.lender, &wire.Loan{Kind: &wire.Loan_Ask{Ask: ask}})
+}
+
+// want makes the entry of one contract, nil when the lender need not hear of it.
+func (b *borrowing) want(now time.Time, s *session, id uint64) *wire.LoanWant {
+	d := s.debts[id]
+	if d == nil {
+		d = &debt{told: true}
+	}
+	var w wish
+	if !b.stopped {
+		w = b.owner.plan(now, s.lender, id, d.Amount)
+	} else {
+		w.back = b.owner.apply(now, s, id, d.Amount, Amount{}, 0)
+	}
+	if w.keep != d.Amount || w.back > 0 {
+		d.Amount = w.keep
+		s.back[id] += w.back
+		d.told = false
+	}
+	grow := w.need > 0 || w.want.Rate > w.keep.Rate || w.want.Cap > w.keep.Cap
+	if !grow && d.told && w.want == d.asked {
+		return nil
+	}
+	if grow {
+		s.hopes++
+	}
+	s.debts[id] = d
+	d.asked = w.want
+	d.told = false
+	return &wire.LoanWant{
+		Contract: id,
+		HoldRate: float32(d.Rate), HoldCap: float32(d.Cap),
+		Rate: float32(w.want.Rate), Cap: float32(w.want.Cap),
+		Need: float32(w.need), Back: s.back[id],
+	}
+}
+
+// receive applies a grant if it answers the newest ask in time.
+func (b *borrowing) receive(now time.Time, from string, g *wire.LoanGrant) {
+	s := b.sessions[from]
+	if s == nil || g.Session != s.id {
+		return
+	}
+	if g.Ask == 0 { // the lender wants loans back
+		s.due = now
+		return
+	}
+	if !s.waiting || g.Ask != s.number {
+		return
+	}
+	s.silent = 0
+	if g.Reset_ {
+		b.end(now, s)
+		s.next = now.Add(s.backoff)
+		return
+	}
+	until := s.askedAt.Add(time.Duration(g.TtlMs) * time.Millisecond)
+	if !now.Before(until) {
+		return
+	}
+	s.waiting = false
+	s.seen = g.Number
+	s.until = until
+	for _, id := range s.listed {
+		s.debts[id].told = true
+	}
+	grown := 0
+	for _, e := range g.Given {
+		if b.take(now, s, e) {
+			grown++
+		}
+	}
+	b.owner.renewed(s)
+	if grown >= s.hopes {
+		s.backoff = 0
+	}
+	s.next = now.Add(s.backoff)
+	b.clean(s)
+}
+
+// take applies one entry of a grant and reports whether it brought something.
+func (b *borrowing) take(now time.Time, s *session, e *wire.LoanGiven) bool {
+	d := s.debts[e.Contract]
+	if d == nil {
+		return false
+	}
+	to := Amount{float64(e.Rate), float64(e.Cap)}
+	back := b.owner.apply(now, s, e.Contract, d.Amount, to, float64(e.Tokens))
+	grew := to.Rate > d.Rate || to.Cap > d.Cap
+	d.Amount = to
+	s.spare[e.Contract] = float64(e.Spare)
+	s.back[e.Contract] += back
+	d.told = back == 0
+	return grew
+}
+
+// clean forgets what is paid back and no longer wanted. A session without
+// loans starts afresh: nothing has to be renewed then.
+func (b *borrowing) clean(s *session) {
+	for id, d := range s.debts {
+		if d.told && d.Amount == (Amount{}) && d.asked == (Amount{}) {
+			delete(s.debts, id)
+		}
+	}
+	if len(s.debts) == 0 {
+		s.restart(b.cfg.Rand)
+	}
+}
+
+// total is what is borrowed of one contract that lasts at least until end.
+func (b *borrowing) total(id uint64, end time.Time) Amount {
+	var sum Amount
+	for _, s := range b.order {
+		if d := s.debts[id]; d != nil && !s.until.Before(end) {
+			sum = sum.plus(d.Amount)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/contract/config.go
@@ -0,0 +1,178 @@
+package contract
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wisteriafold/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultLoanTTL   = time.Second
+	DefaultHolderTTL = 2 * time.Second
+	DefaultMargin    = 250 * time.Millisecond
+	DefaultFence     = 2 * time.Hour
+	DefaultGap       = 5 * time.Second
+	DefaultMaxWait   = 150 * time.Millisecond
+	DefaultTimeout   = 120 * time.Millisecond
+)
+
+const (
+	// Groups is the number of groups that contracts are hashed into. Each
+	// group is placed on holders as a whole.
+	Groups = 8
+
+	// HoldersPerDataCentre is the number of holders that split the share of a
+	// data centre.
+	HoldersPerDataCentre = 2
+
+	// fenceDrift is the part of the fence time that is added on taking over,
+	// for clocks that run at different speeds.
+	fenceDrift = 1000
+)
+
+// Outbox sends control messages to other daemons.
+type Outbox interface {
+	// Send passes m to the daemon at that peer address. The message may be
+	// lost, late or doubled. Send does not block.
+	Send(to string, m *wire.Loan)
+}
+
+// Config says who a Machine is and how long it waits. A zero duration stands
+// for its default.
+type Config struct {
+	Self       string     // peer address of this daemon, ip:port
+	DataCentre string     // data centre of this daemon
+	Epoch      time.Time  // start of the process, with its monotonic reading
+	Rand       *rand.Rand // source of session numbers; used by the control goroutine only
+	Outbox     Outbox     // carries messages to other daemons
+
+	LoanTTL   time.Duration // life of a loan to a daemon; longer costs use after a crash, shorter costs messages
+	HolderTTL time.Duration // life of a loan between holders; it must outlast LoanTTL by two margins
+	Margin    time.Duration // added by the lender to a loan's life, for clocks that run at different speeds
+	Fence     time.Duration // a holder stops when its roster was not confirmed for this long
+	Gap       time.Duration // a longer silence of the control goroutine counts as a pause of the process
+	MaxWait   time.Duration // longest wait of a request for tokens on the way
+	Timeout   time.Duration // an ask that was not answered for this long is repeated
+}
+
+func (c *Config) setDefaults() {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&c.LoanTTL, DefaultLoanTTL)
+	set(&c.HolderTTL, DefaultHolderTTL)
+	set(&c.Margin, DefaultMargin)
+	set(&c.Fence, DefaultFence)
+	set(&c.Gap, DefaultGap)
+	set(&c.MaxWait, DefaultMaxWait)
+	set(&c.Timeout, DefaultTimeout)
+}
+
+// loanSpan is the longest time for which a loan can be used after its lender
+// has stopped.
+func (c *Config) loanSpan() time.Duration { return c.HolderTTL + c.Margin }
+
+// fenceSpan is the time after which an address that has been silent since a
+// roster change no longer spends anything.
+func (c *Config) fenceSpan() time.Duration {
+	return c.Fence + c.Fence/fenceDrift + c.loanSpan()
+}
+
+// Share is the part of a contract that belongs to one data centre.
+type Share struct {
+	DataCentre string
+	Weight     float64 // relative to the other shares of the contract
+}
+
+// Contract is a rate and a burst, counted over the whole fleet.
+type Contract struct {
+	Name    string  // organisation, or name of a link whose tokens are bytes
+	Version uint64  // generation of the contract's last change, from 1; the same on every daemon
+	Rate    float64 // tokens per second
+	Burst   float64 // tokens
+	Shares  []Share // split between data centres
+}
+
+// Amount is a rate together with the size of the bucket that it fills.
+type Amount struct {
+	Rate float64 // tokens per second
+	Cap  float64 // tokens
+}
+
+func (a Amount) plus(b Amount) Amount   { return Amount{a.Rate + b.Rate, a.Cap + b.Cap} }
+func (a Amount) minus(b Amount) Amount  { return Amount{a.Rate - b.Rate, a.Cap - b.Cap} }
+func (a Amount) times(f float64) Amount { return Amount{a.Rate * f, a.Cap * f} }
+func (a Amount) atMost(b Amount) Amount { return Amount{min(a.Rate, b.Rate), min(a.Cap, b.Cap)} }
+
+func (a Amount) atLeast(b Amount) Amount { return Amount{max(a.Rate, b.Rate), max(a.Cap, b.Cap)} }
+
+func (a Amount) within(b Amount, s Amount) bool {
+	return a.Rate <= b.Rate+s.Rate && a.Cap <= b.Cap+s.Cap
+}
+
+// share returns the part of the contract that belongs to the data centre.
+func (c *Contract) share(dc string) Amount {
+	var sum, own float64
+	for _, s := range c.Shares {
+		sum += s.Weight
+		if s.DataCentre == dc {
+			own += s.Weight
+		}
+	}
+	if sum == 0 {
+		return Amount{}
+	}
+	return Amount{c.Rate, c.Burst}.times(own / sum)
+}
+
+// InvalidContractError reports a contract that cannot be put in force.
+type InvalidContractError struct {
+	Name   string
+	Remedy string
+}
+
+// Error names the contract and the remedy.
+func (e *InvalidContractError) Error() string {
+	return fmt.Sprintf("contract %q cannot be put in force: %s", e.Name, e.Remedy)
+}
+
+func (c *Contract) validate() error {
+	fail := func(remedy string) error { return &InvalidContractError{Name: c.Name, Remedy: remedy} }
+	switch {
+	case c.Name == "":
+		return fail("give it a name")
+	case c.Version == 0:
+		return fail("number its version from 1")
+	case !(c.Rate > 0):
+		return fail("give it a rate above 0 tokens per second")
+	case !(c.Burst >= 1):
+		return fail("give it a burst of at least 1 token")
+	case len(c.Shares) == 0:
+		return fail("split it between at least one data centre")
+	}
+	var sum float64
+	for _, s := range c.Shares {
+		if !(s.Weight >= 0) {
+			return fail("give each data centre a weight of 0 or more")
+		}
+		sum += s.Weight
+	}
+	if sum == 0 {
+		return fail("give at least one data centre a weight above 0")
+	}
+	return nil
+}
+
+// Roster is the durable list of the instances of one data centre.
+type Roster struct {
+	DataCentre  string
+	Version     uint64    // 1 for the first one written, one more for each change, 0 when none was ever written
+	Addresses   []string  // peer addresses of the members
+	Expelled    []string  // addresses that were taken out by others than themselves
+	ConfirmedAt time.Time // local time just before the read that returned it was sent
+}
--- /dev/null
+++ b/contract/lending.go
@@ -0,0 +1,329 @@
+package contract
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"wisteriafold/wire"
+)
+
+const (
+	// cutSlack is how far a loan may exceed its fair part before it is cut.
+	cutSlack = 1.1
+
+	// nudgeGap is the least time between two requests to a borrower to come
+	// back early.
+	nudgeGap = 100 * time.Millisecond
+)
+
+// loan is one contract lent to one borrower.
+type loan struct {
+	confirmed Amount  // the borrower may have this until confirmedUntil
+	offered   Amount  // it has this if it applied the outstanding grant
+	tokens    float64 // tokens that the outstanding grant carries
+	booked    Amount  // what counts as gone
+	back      float64 // tokens handed back, as last told
+	want      Amount  // what the borrower wants in all
+	short     float64 // tokens that it wanted at once and did not get
+}
+
+// lending is the lender's side of one session of a borrower.
+type lending struct {
+	borrower       string
+	session        uint64
+	holder         bool
+	ask            uint64 // number of the newest ask
+	grant          uint64 // number of the newest grant
+	confirmedUntil time.Time
+	offeredUntil   time.Time
+	nudged         time.Time
+	loans          map[uint64]*loan
+	pending        []uint64 // contracts that the newest grant changed
+}
+
+type lendKey struct {
+	borrower string
+	session  uint64
+}
+
+// booking returns what counts as gone at now.
+func (l *lending) booking(ln *loan, now time.Time) Amount {
+	if now.Before(l.confirmedUntil) {
+		return ln.confirmed.atLeast(ln.offered)
+	}
+	return ln.offered
+}
+
+// resolve settles the outstanding grant: the borrower has applied it, or never will.
+func (h *Holder) resolve(now time.Time, l *lending, applied bool) {
+	for _, id := range l.pending {
+		ln := l.loans[id]
+		if applied {
+			ln.confirmed = ln.offered
+		} else {
+			ln.offered = ln.confirmed
+		}
+		h.rebook(now, l, id, ln)
+		if !applied {
+			h.accounts[id].add(ln.tokens)
+		}
+		ln.tokens = 0
+	}
+	if applied {
+		l.confirmedUntil = l.offeredUntil
+	}
+	l.offeredUntil = l.confirmedUntil
+	l.pending = l.pending[:0]
+}
+
+// rebook brings the account's sums up to date with a loan.
+func (h *Holder) rebook(now time.Time, l *lending, id uint64, ln *loan) {
+	booked := l.booking(ln, now)
+	h.accounts[id].lend(l.holder, booked.minus(ln.booked))
+	ln.booked = booked
+}
+
+// receiveAsk answers a borrower.
+func (h *Holder) receiveAsk(now time.Time, from string, ask *wire.LoanAsk) {
+	key := lendKey{from, ask.Session}
+	l := h.lendings[key]
+	if (l == nil && (!fresh(ask) || h.left)) || (l != nil && l.lapsed(now, ask)) {
+		h.send(from, &wire.Loan{Kind: &wire.Loan_Grant{Grant: &wire.LoanGrant{Session: ask.Session, Ask: ask.Number, Reset_: true}}})
+		return
+	}
+	if l == nil {
+		l = &lending{borrower: from, session: ask.Session, holder: ask.Holder, loans: make(map[uint64]*loan), confirmedUntil: now, offeredUntil: now}
+		h.lendings[key] = l
+		h.order = append(h.order, l)
+	}
+	if ask.Number <= l.ask {
+		return
+	}
+	l.ask = ask.Number
+	ask.Wants = slices.DeleteFunc(ask.Wants, func(w *wire.LoanWant) bool { return h.accounts[w.Contract] == nil })
+	for _, w := range ask.Wants {
+		h.accounts[w.Contract].advance(now)
+	}
+	for _, id := range l.pending {
+		h.accounts[id].advance(now)
+	}
+	h.resolve(now, l, ask.Seen == l.grant)
+	for _, w := range ask.Wants {
+		h.returned(now, l, w)
+	}
+	h.grantTo(now, l, ask)
+}
+
+// lapsed reports whether the loans that the ask builds on are over: it was sent
+// before they ended and arrives when they no longer count as lent.
+func (l *lending) lapsed(now time.Time, ask *wire.LoanAsk) bool {
+	if ask.Seen == l.grant || now.Before(l.confirmedUntil) {
+		return false
+	}
+	for _, ln := range l.loans {
+		if ln.confirmed != (Amount{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// fresh reports whether the ask can open a session.
+func fresh(ask *wire.LoanAsk) bool {
+	if ask.Seen != 0 {
+		return false
+	}
+	for _, w := range ask.Wants {
+		if w.Back != 0 || w.HoldRate != 0 || w.HoldCap != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// returned books what the borrower has given up since its last ask.
+func (h *Holder) returned(now time.Time, l *lending, w *wire.LoanWant) {
+	ln := l.loans[w.Contract]
+	if ln == nil {
+		ln = &loan{}
+		l.loans[w.Contract] = ln
+	}
+	a := h.accounts[w.Contract]
+	ln.confirmed = ln.confirmed.atMost(Amount{float64(w.HoldRate), float64(w.HoldCap)})
+	ln.offered = ln.confirmed
+	h.rebook(now, l, w.Contract, ln)
+	if w.Back > ln.back {
+		a.add(w.Back - ln.back)
+		ln.back = w.Back
+	}
+	want := Amount{float64(w.Rate), float64(w.Cap)}
+	a.wanted(l.holder, want.minus(ln.want))
+	ln.want = want
+}
+
+// grantTo renews the loans of a session, grows those that were asked for and
+// cuts those that cannot be kept.
+func (h *Holder) grantTo(now time.Time, l *lending, ask *wire.LoanAsk) {
+	ttl := h.cfg.LoanTTL
+	if l.holder {
+		ttl = h.cfg.HolderTTL
+	}
+	end := now.Add(ttl + h.cfg.Margin)
+	l.grant++
+	g := &wire.LoanGrant{Session: l.session, Ask: l.ask, Number: l.grant, TtlMs: uint32(ttl.Milliseconds())}
+	asked := make(map[uint64]*wire.LoanWant, len(ask.Wants))
+	for _, w := range ask.Wants {
+		asked[w.Contract] = w
+	}
+	for _, id := range sortedKeys(l.loans) {
+		ln, w := l.loans[id], asked[id]
+		if w == nil && ln.confirmed == (Amount{}) {
+			continue
+		}
+		a := h.accounts[id]
+		a.advance(now)
+		need := 0.0
+		if w != nil {
+			need = float64(w.Need)
+		}
+		to, tokens := h.offer(a, l, ln, need, end)
+		if w == nil && to == ln.confirmed {
+			continue
+		}
+		ln.offered, ln.tokens = to, tokens
+		ln.short = max(0, need-tokens)
+		a.level -= tokens
+		l.pending = append(l.pending, id)
+		g.Given = append(g.Given, &wire.LoanGiven{
+			Contract: id, Rate: float32(to.Rate), Cap: float32(to.Cap),
+			Tokens: float32(tokens), Spare: float32(h.spare(a)),
+		})
+	}
+	l.offeredUntil = end
+	for _, id := range l.pending {
+		h.rebook(now, l, id, l.loans[id])
+		h.accounts[id].clip()
+	}
+	own := h.rosters[h.cfg.DataCentre]
+	if own != nil {
+		g.Roster = own.Version
+		g.RosterAgeMs = uint32(min(max(0, now.Sub(own.ConfirmedAt).Milliseconds()+1), math.MaxUint32))
+	}
+	h.send(l.borrower, &wire.Loan{Kind: &wire.Loan_Grant{Grant: g}})
+}
+
+// offer decides how much of an account a borrower gets until end.
+func (h *Holder) offer(a *account, l *lending, ln *loan, need float64, end time.Time) (Amount, float64) {
+	backing := a.base.plus(h.debts.total(a.id, end))
+	room := backing.minus(a.lent.minus(ln.booked)) // most that this borrower can have
+	avail, wants := backing.minus(a.lentHolders), a.wantDaemons
+	if l.holder {
+		avail, wants = h.forHolders(a), a.wantHolders
+		room = room.atMost(avail.minus(a.lentHolders.minus(ln.booked)).atLeast(ln.confirmed))
+	}
+	over := backing.Rate < a.lent.Rate || backing.Cap < a.lent.Cap
+	to := Amount{
+		Rate: divide(ln.confirmed.Rate, ln.want.Rate, wants.Rate, avail.Rate, room.Rate, 0),
+		Cap:  divide(ln.confirmed.Cap, ln.want.Cap, wants.Cap, avail.Cap, room.Cap, max(1, need)),
+	}
+	if over {
+		to = to.atMost(cutTo(ln.confirmed, backing, a.lent))
+	}
+	to = to.f32()
+	grow := to.Cap - ln.confirmed.Cap
+	if grow <= 0 || a.level <= 0 {
+		return to, 0
+	}
+	part := grow / max(a.own().Cap, grow)
+	tokens := min(grow, a.level, max(need, a.level*part))
+	return to, f32(tokens)
+}
+
+// divide returns what a borrower gets that has hold and wants want, when all
+// borrowers want total of avail. It can grow up to room, and always up to least.
+func divide(hold, want, total, avail, room, least float64) float64 {
+	fair := want
+	if total > avail {
+		fair = want * max(0, avail) / total
+	}
+	fair = max(fair, min(want, least))
+	switch {
+	case fair > hold:
+		return max(hold, min(fair, room))
+	case fair*cutSlack < hold:
+		return fair
+	default:
+		return hold
+	}
+}
+
+// cutTo scales a loan down to what backs it.
+func cutTo(hold, backing, lent Amount) Amount {
+	scale := func(hold, backing, lent float64) float64 {
+		if lent <= backing {
+			return math.Inf(1)
+		}
+		return hold * max(0, backing) / lent
+	}
+	return Amount{scale(hold.Rate, backing.Rate, lent.Rate), scale(hold.Cap, backing.Cap, lent.Cap)}
+}
+
+// forHolders is what of its own share a holder can lend to other holders: what
+// the daemons of its data centre do not want, and nothing that is borrowed.
+func (h *Holder) forHolders(a *account) Amount {
+	return a.base.minus(a.wantDaemons.times(cutSlack)).atLeast(Amount{})
+}
+
+// spare is the rate that could still be lent to other holders.
+func (h *Holder) spare(a *account) float64 {
+	return f32(max(0, h.forHolders(a).Rate-a.lentHolders.Rate))
+}
+
+// expireLent takes back the loans whose time is over.
+func (h *Holder) expireLent(now time.Time) {
+	for _, l := range h.order {
+		if now.Before(l.confirmedUntil) && now.Before(l.offeredUntil) {
+			continue
+		}
+		over := !now.Before(l.offeredUntil) && !now.Before(l.confirmedUntil)
+		for _, id := range sortedKeys(l.loans) {
+			h.lapse(now, l, id, over)
+		}
+		if over {
+			delete(h.lendings, lendKey{l.borrower, l.session})
+		}
+	}
+	h.order = slices.DeleteFunc(h.order, func(l *lending) bool {
+		return h.lendings[lendKey{l.borrower, l.session}] != l
+	})
+}
+
+// lapse takes back what one loan no longer counts as lent.
+func (h *Holder) lapse(now time.Time, l *lending, id uint64, over bool) {
+	ln, a := l.loans[id], h.accounts[id]
+	a.advance(now)
+	if over {
+		ln.confirmed, ln.offered = Amount{}, Amount{}
+		a.wanted(l.holder, Amount{}.minus(ln.want))
+		ln.want = Amount{}
+	}
+	h.rebook(now, l, id, ln)
+}
+
+// nudge asks the holders that borrowed from the account to come back early.
+func (h *Holder) nudge(now time.Time, a *account) {
+	for _, l := range h.order {
+		ln := l.loans[a.id]
+		if !l.holder || ln == nil || ln.confirmed == (Amount{}) || now.Sub(l.nudged) < nudgeGap {
+			continue
+		}
+		l.nudged = now
+		h.send(l.borrower, &wire.Loan{Kind: &wire.Loan_Grant{Grant: &wire.LoanGrant{Session: l.session}}})
+	}
+}
+
+func sortedKeys[V any](m map[uint64]V) []uint64 {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/contract/machine.go
@@ -0,0 +1,187 @@
+package contract
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wisteriafold/wire"
+)
+
+// Machine is the contract control of one daemon: a Holder for the groups that
+// the roster places on it and a Borrower for its own traffic. Its methods, but
+// for Limiter and Wake, belong to the control goroutine. now never goes back.
+type Machine struct {
+	cfg      Config
+	holder   *Holder
+	borrower *Borrower
+	local    []*wire.Loan // messages of the daemon to itself
+	leftAt   time.Time
+}
+
+// New returns a machine without contracts and rosters.
+func New(cfg Config) *Machine {
+	cfg.setDefaults()
+	m := &Machine{cfg: cfg}
+	m.holder = newHolder(&m.cfg, m.send)
+	m.borrower = newBorrower(&m.cfg, m.send)
+	return m
+}
+
+// Limiter returns the traffic side.
+func (m *Machine) Limiter() *Limiter { return m.borrower.limiter }
+
+// Wake fires when a request waits for tokens: call Tick then.
+func (m *Machine) Wake() <-chan struct{} { return m.borrower.limiter.wake }
+
+func (m *Machine) send(to string, msg *wire.Loan) {
+	if to == m.cfg.Self {
+		m.local = append(m.local, msg)
+		return
+	}
+	m.cfg.Outbox.Send(to, msg)
+}
+
+// SetContracts puts a generation of contracts in force, all of them or, with an
+// InvalidContractError, none. An older generation changes nothing.
+func (m *Machine) SetContracts(now time.Time, generation uint64, cs []Contract) error {
+	seen := make(map[uint64]string, len(cs))
+	for i := range cs {
+		if err := cs[i].validate(); err != nil {
+			return err
+		}
+		id := ID(cs[i].Name)
+		if other, ok := seen[id]; ok {
+			return &InvalidContractError{Name: cs[i].Name, Remedy: "rename it, its name or hash is that of " + other}
+		}
+		seen[id] = cs[i].Name
+	}
+	if generation < m.holder.generation {
+		return nil
+	}
+	m.advance(now)
+	m.holder.setContracts(now, generation, cs)
+	m.borrower.setContracts(cs)
+	m.holder.evaluate(now)
+	return nil
+}
+
+// SetRoster learns a roster, or that it was read again. Every data centre that
+// has or had a row is to be told, the daemon's own included.
+func (m *Machine) SetRoster(now time.Time, r Roster) {
+	m.advance(now)
+	m.holder.setRoster(now, r)
+	if r.DataCentre == m.cfg.DataCentre {
+		m.borrower.setRoster(m.holder.rosters[r.DataCentre])
+	}
+	keep := make(map[string]bool)
+	for g := range m.holder.peers {
+		for _, p := range m.holder.peers[g] {
+			keep[p] = true
+		}
+		for _, p := range m.borrower.holders[g] {
+			keep[p] = true
+		}
+	}
+	m.holder.debts.forget(func(l string) bool { return keep[l] })
+	m.borrower.debts.forget(func(l string) bool { return keep[l] })
+	m.holder.evaluate(now)
+}
+
+// advance brings expiry, fences and shares up to now, before anything is decided.
+func (m *Machine) advance(now time.Time) {
+	m.borrower.debts.expire(now)
+	m.holder.step(now)
+}
+
+// Receive handles a message from another daemon.
+func (m *Machine) Receive(now time.Time, from string, msg *wire.Loan) {
+	m.advance(now)
+	m.handle(now, from, msg)
+	m.holder.pump(now)
+	m.borrower.pump(now)
+	m.drain(now)
+}
+
+// Tick does what is due. Call it every 20 to 50 ms and when Wake fires.
+func (m *Machine) Tick(now time.Time) {
+	m.advance(now)
+	m.borrower.tick(now)
+	m.drain(now)
+	m.holder.tick(now)
+	m.drain(now)
+}
+
+// drain handles the messages of the daemon to itself.
+func (m *Machine) drain(now time.Time) {
+	for len(m.local) > 0 {
+		msg := m.local[0]
+		m.local = m.local[1:]
+		m.handle(now, m.cfg.Self, msg)
+	}
+}
+
+func (m *Machine) handle(now time.Time, from string, msg *wire.Loan) {
+	switch k := msg.GetKind().(type) {
+	case *wire.Loan_Ask:
+		m.holder.receiveAsk(now, from, k.Ask)
+	case *wire.Loan_Grant:
+		m.confirm(from, k.Grant)
+		m.holder.debts.receive(now, from, k.Grant)
+		m.borrower.debts.receive(now, from, k.Grant)
+	case *wire.Loan_Query:
+		m.holder.receiveQuery(now, from, k.Query)
+	case *wire.Loan_Answer:
+		m.holder.receiveAnswer(from, k.Answer)
+	}
+}
+
+// confirm takes over a lender's confirmation of the roster that both act on.
+func (m *Machine) confirm(from string, g *wire.LoanGrant) {
+	own := m.holder.rosters[m.cfg.DataCentre]
+	s := m.borrower.debts.sessions[from]
+	if from == m.cfg.Self || own == nil || s == nil || !s.waiting || g.Session != s.id || g.Ask != s.number || g.Roster != own.Version {
+		return
+	}
+	at := s.askedAt.Add(-time.Duration(g.RosterAgeMs) * time.Millisecond)
+	if at.After(own.ConfirmedAt) {
+		own.ConfirmedAt = at
+		m.holder.confirmed(m.cfg.DataCentre, at)
+	}
+}
+
+// Leave gives everything up: shares, loans made and loans taken.
+func (m *Machine) Leave(now time.Time) {
+	m.advance(now)
+	m.holder.left = true
+	m.holder.debts.stopped = true
+	m.borrower.debts.stopped = true
+	m.leftAt = now
+	m.holder.evaluate(now)
+}
+
+// Left reports whether nothing is lent or borrowed any more. The daemon can
+// then take its address out of the roster.
+func (m *Machine) Left(now time.Time) bool {
+	if !m.holder.left {
+		return false
+	}
+	if now.Sub(m.leftAt) >= m.cfg.loanSpan() {
+		return true
+	}
+	for _, a := range m.holder.accounts {
+		if a.lent != (Amount{}) || a.in != (Amount{}) {
+			return false
+		}
+	}
+	for _, d := range m.borrower.demands {
+		if len(d.parts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/contract/status.go
@@ -0,0 +1,110 @@
+package contract
+
+import "time"
+
+// Status is what one daemon holds, lends and borrows.
+type Status struct {
+	Generation  uint64
+	Roster      uint64        // version of the own data centre's roster
+	RosterAge   time.Duration // since it was confirmed
+	Fenced      bool          // it was not confirmed for too long: own shares are out of use
+	Shares      []ShareStatus // contracts of which this daemon holds a share
+	Lent        []LoanStatus
+	Borrowed    []LoanStatus // for traffic
+	Rebalancing []LoanStatus // by the holder, from other holders
+	Traffic     []TrafficStatus
+}
+
+// ShareStatus is one contract of a holder.
+type ShareStatus struct {
+	Contract string
+	Version  uint64
+	Fraction float64 // part of the data centre's share that the roster gives this holder
+	Holding  bool    // it has taken over what the roster gives
+	Agreed   bool    // every holder acts on this version
+	Settled  bool    // no more is lent than the share in force backs
+	Own      Amount  // share in force
+	Lent     Amount
+	Borrowed Amount
+	Tokens   float64
+	Missing  []string // holders whose word is missing for this version to be agreed
+}
+
+// LoanStatus is one loan.
+type LoanStatus struct {
+	Contract string
+	Peer     string // the borrower of a loan made, the lender of a loan taken
+	Holder   bool   // between holders
+	Amount   Amount
+	Left     time.Duration // until it ends
+}
+
+// TrafficStatus counts the tokens of one contract on this daemon.
+type TrafficStatus struct {
+	Contract string
+	Asked    int64
+	Taken    int64
+	Refused  int64
+	Waiting  int64
+	Demand   float64 // predicted tokens per second
+}
+
+// Status returns a snapshot. It belongs to the control goroutine.
+func (m *Machine) Status(now time.Time) Status {
+	h := m.holder
+	out := Status{Generation: h.generation, Fenced: h.fenced(now)}
+	if own := h.rosters[m.cfg.DataCentre]; own != nil {
+		out.Roster, out.RosterAge = own.Version, now.Sub(own.ConfirmedAt)
+	}
+	for g := range h.ids {
+		for _, id := range h.ids[g] {
+			out.Shares = append(out.Shares, h.shareStatus(h.accounts[id]))
+		}
+	}
+	for _, l := range h.order {
+		for _, id := range sortedKeys(l.loans) {
+			if ln := l.loans[id]; ln.booked != (Amount{}) {
+				out.Lent = append(out.Lent, LoanStatus{h.accounts[id].contract.Name, l.borrower, l.holder, ln.booked, l.offeredUntil.Sub(now)})
+			}
+		}
+	}
+	out.Rebalancing = h.debts.status(now, func(id uint64) string { return h.accounts[id].contract.Name })
+	out.Borrowed = m.borrower.debts.status(now, func(id uint64) string { return m.borrower.demands[id].contract.Name })
+	for _, id := range m.borrower.ids {
+		d := m.borrower.demands[id]
+		out.Traffic = append(out.Traffic, TrafficStatus{
+			Contract: d.contract.Name, Asked: d.gauge.asked.Load(), Taken: d.gauge.taken.Load(),
+			Refused: d.gauge.refused.Load(), Waiting: d.gauge.waiting.Load(), Demand: max(d.fast, d.slow),
+		})
+	}
+	return out
+}
+
+func (h *Holder) shareStatus(a *account) ShareStatus {
+	s, target := h.slots[a.group], h.target(a.group)
+	out := ShareStatus{
+		Contract: a.contract.Name, Version: a.contract.Version, Fraction: target,
+		Holding: target > 0 && s.fraction == target, Agreed: a.agreed, Settled: h.isSettled(a),
+		Own: a.base, Lent: a.lent, Borrowed: a.in, Tokens: a.level,
+	}
+	if out.Holding && !a.agreed {
+		for _, addr := range h.peers[a.group] {
+			if _, ok := a.evidence[addr]; !ok {
+				out.Missing = append(out.Missing, addr)
+			}
+		}
+	}
+	return out
+}
+
+func (b *borrowing) status(now time.Time, name func(uint64) string) []LoanStatus {
+	var out []LoanStatus
+	for _, s := range b.order {
+		for _, id := range sortedKeys(s.debts) {
+			if d := s.debts[id]; d.Amount != (Amount{}) {
+				out = append(out, LoanStatus{name(id), s.lender, b.holder, d.Amount, s.until.Sub(now)})
+			}
+		}
+	}
+	return out
+}
