--- a/config/configuration.go
+++ b/config/configuration.go
@@ -1,17 +1,21 @@
 package config
 
-import "sort"
+import (
+	"sort"
+
+	"go.yaml.in/yaml/v3"
+)
 
 // Configuration is everything that operators declare, complete and checked.
 // It is not changed once it is loaded. Lists are ordered by name.
 type Configuration struct {
-	Organisations []Organisation
-	Keys          []Key
-	Services      []Service
-	Routes        []Route
-	DataCentres   []DataCentre
-	Links         []Link
-	Settings      Settings
+	Organisations []Organisation `yaml:"organisations,omitempty"`
+	Keys          []Key          `yaml:"keys,omitempty"`
+	Services      []Service      `yaml:"services,omitempty"`
+	Routes        []Route        `yaml:"routes,omitempty"`
+	DataCentres   []DataCentre   `yaml:"data_centres,omitempty"`
+	Links         []Link         `yaml:"links,omitempty"`
+	Settings      Settings       `yaml:"settings"`
 }
 
 // ID returns the link's name: its regions in order.
@@ -61,3 +65,7 @@
 	sort.Slice(c.DataCentres, func(i, j int) bool { return c.DataCentres[i].Name < c.DataCentres[j].Name })
 	sort.Slice(c.Links, func(i, j int) bool { return c.Links[i].ID() < c.Links[j].ID() })
 }
+
+// YAML returns the configuration as one file that LoadDirectory reads back to
+// the same.
+func (c *Configuration) YAML() ([]byte, error) { return yaml.Marshal(c) }
--- /dev/null
+++ b/config/content.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Row is the state of one object at some generation.
+type Row struct {
+	Key     string // kind/name
+	Value   []byte // JSON of the object, empty when it is deleted
+	Deleted bool
+}
+
+// CorruptError reports rows that do not make up the generation that they were
+// read as. What was in force before stays in force.
+type CorruptError struct {
+	Generation uint64
+	What       string
+}
+
+// Error names the generation and the remedy.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("generation %d can't be taken: %s: read it again, and if that does not help apply the whole configuration again", e.Generation, e.What)
+}
+
+// content is all rows of one generation with the snapshot made of them.
+type content struct {
+	rows     map[string][]byte
+	digest   uint64
+	snapshot *Snapshot
+}
+
+func newContent() *content {
+	return &content{rows: map[string][]byte{}, snapshot: EmptySnapshot()}
+}
+
+// rowDigest is one row's part of the content's digest. The parts are summed,
+// so that the digest follows from a delta alone.
+func rowDigest(key string, value []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(value)
+	return d.Sum64()
+}
+
+// digestAfter returns the digest that the content would have with the rows.
+func (c *content) digestAfter(rows []Row) uint64 {
+	sum := c.digest
+	for _, r := range rows {
+		if old, ok := c.rows[r.Key]; ok {
+			sum -= rowDigest(r.Key, old)
+		}
+		if !r.Deleted {
+			sum += rowDigest(r.Key, r.Value)
+		}
+	}
+	return sum
+}
+
+// take brings the content to a generation. Each key occurs once in rows. full
+// says that rows are everything. When the rows do not lead to digest, or one
+// of them can't be read, nothing is changed and the error is a CorruptError.
+func (c *content) take(h Head, version uint64, full bool, rows []Row) error {
+	base := c
+	if full {
+		base = newContent()
+	}
+	if got := base.digestAfter(rows); got != h.Digest {
+		return &CorruptError{h.Generation, fmt.Sprintf("its digest is %016x, not %016x", got, h.Digest)}
+	}
+	conf := *base.snapshot.Configuration
+	touched, err := patch(&conf, rows)
+	if err != nil {
+		return &CorruptError{h.Generation, err.Error()}
+	}
+	for _, r := range rows {
+		if r.Deleted {
+			delete(base.rows, r.Key)
+		} else {
+			base.rows[r.Key] = r.Value
+		}
+	}
+	c.rows = base.rows
+	c.digest = h.Digest
+	c.snapshot = base.snapshot.derive(h, version, &conf, touched)
+	return nil
+}
+
+// patch applies rows to a configuration whose lists may be shared, and
+// returns the kinds that it changed. Rows of kinds that this version does not
+// know are kept as rows only.
+func patch(c *Configuration, rows []Row) (map[Kind]bool, error) {
+	touched := map[Kind]bool{}
+	sorted := slices.Clone(rows)
+	slices.SortFunc(sorted, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	for _, r := range sorted {
+		kind, name := splitKey(r.Key)
+		ops, known := kinds[kind]
+		if !known {
+			continue
+		}
+		if !touched[kind] {
+			touched[kind] = true
+			ops.own(c)
+		}
+		if r.Deleted {
+			ops.remove(c, name)
+			continue
+		}
+		if err := ops.put(c, name, r.Value); err != nil {
+			return nil, fmt.Errorf("row %s: %w", r.Key, err)
+		}
+	}
+	return touched, nil
+}
--- a/config/decode.go
+++ b/config/decode.go
@@ -97,18 +97,24 @@
 func fieldByTag(target reflect.Value, name string) (reflect.Value, bool) {
 	t := target.Type()
 	for i := range t.NumField() {
-		if t.Field(i).Tag.Get("yaml") == name {
+		if fieldName(t.Field(i)) == name {
 			return target.Field(i), true
 		}
 	}
 	return reflect.Value{}, false
 }
 
+// fieldName returns the name of a field in files.
+func fieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
 // fieldNames lists the fields of a struct as files name them.
 func fieldNames(t reflect.Type) string {
 	names := make([]string, t.NumField())
 	for i := range t.NumField() {
-		names[i] = t.Field(i).Tag.Get("yaml")
+		names[i] = fieldName(t.Field(i))
 	}
 	sort.Strings(names)
 	return strings.Join(names, ", ")
@@ -118,7 +124,7 @@
 
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	v.RegisterTagNameFunc(fieldName)
 	mustRegister(v, "name", func(f validator.FieldLevel) bool { return validName(f.Field().String()) })
 	mustRegister(v, "digest", func(f validator.FieldLevel) bool { return validDigest(f.Field().String()) })
 	mustRegister(v, "prefix", func(f validator.FieldLevel) bool { return validPrefix(f.Field().String()) })
--- a/config/objects.go
+++ b/config/objects.go
@@ -16,7 +16,7 @@
 
 	// Burst is the number of requests that may come at once after a quiet
 	// time. The default is one second's rate, at least 1.
-	Burst float64 `yaml:"burst" json:"burst,omitempty" validate:"gte=1,lte=1e9"`
+	Burst float64 `yaml:"burst,omitempty" json:"burst,omitempty" validate:"gte=1,lte=1e9"`
 
 	// Weight is the organisation's part of a crowded backend server, relative
 	// to the others. The default is 1.
@@ -26,7 +26,7 @@
 	// from; data centres lend to each other by demand. The sum must not be
 	// over 100. Data centres that are left out start with nothing. The default
 	// is an even split.
-	Split map[string]float64 `yaml:"split" json:"split,omitempty" validate:"dive,gte=0,lte=100"`
+	Split map[string]float64 `yaml:"split,omitempty" json:"split,omitempty" validate:"dive,gte=0,lte=100"`
 }
 
 // Key is the digest of a key that an organisation's callers present. The key
@@ -39,7 +39,7 @@
 	Organisation string `yaml:"organisation" json:"organisation" validate:"required"`
 
 	// Note tells operators what the key is for. It has no effect.
-	Note string `yaml:"note" json:"note,omitempty" validate:"max=200"`
+	Note string `yaml:"note,omitempty" json:"note,omitempty" validate:"max=200"`
 }
 
 // Service is a kind of backend server. Its endpoints announce themselves.
@@ -69,7 +69,7 @@
 	Prefix string `yaml:"prefix" json:"prefix" validate:"required,prefix"`
 
 	// Methods are the HTTP methods that the route takes. The default is all.
-	Methods []string `yaml:"methods" json:"methods,omitempty" validate:"dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
+	Methods []string `yaml:"methods,omitempty" json:"methods,omitempty" validate:"dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
 
 	// Service is the name of the service that answers.
 	Service string `yaml:"service" json:"service" validate:"required"`
@@ -78,29 +78,29 @@
 	Importance Importance `yaml:"importance" json:"importance"`
 
 	// Open lets anyone in, without a key. The default is false.
-	Open bool `yaml:"open" json:"open,omitempty"`
+	Open bool `yaml:"open,omitempty" json:"open,omitempty"`
 
 	// Idempotent says whether a second run does no harm. The default goes by
 	// the method: GET, HEAD, PUT, DELETE and OPTIONS are idempotent.
-	Idempotent *bool `yaml:"idempotent" json:"idempotent,omitempty"`
+	Idempotent *bool `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
 
 	// Deadline is the time that the whole request has. The default is the
 	// service's.
-	Deadline time.Duration `yaml:"deadline" json:"deadline,omitempty" validate:"omitempty,gte=1ms,lte=1h"`
+	Deadline time.Duration `yaml:"deadline,omitempty" json:"deadline,omitempty" validate:"omitempty,gte=1ms,lte=1h"`
 
 	// RetryAllowance is the number of extra attempts for the whole tree of one
 	// request. The default is 2.
 	RetryAllowance uint32 `yaml:"retry_allowance" json:"retry_allowance" validate:"lte=100"`
 
 	// MaxBody is the largest request body in bytes. The default is the service's.
-	MaxBody Bytes `yaml:"max_body" json:"max_body,omitempty"`
+	MaxBody Bytes `yaml:"max_body,omitempty" json:"max_body,omitempty"`
 
 	// StoreDown is refuse or run. The default is refuse.
 	StoreDown StoreDown `yaml:"store_down" json:"store_down" validate:"oneof=refuse run"`
 
 	// WhenCutOff is serve or refuse. The default is keys.when_cut_off of the
 	// settings.
-	WhenCutOff CutOff `yaml:"when_cut_off" json:"when_cut_off,omitempty" validate:"omitempty,oneof=serve refuse"`
+	WhenCutOff CutOff `yaml:"when_cut_off,omitempty" json:"when_cut_off,omitempty" validate:"omitempty,oneof=serve refuse"`
 }
 
 // DataCentre is a zone with its own instances.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -16,26 +16,40 @@
 
 // NewSnapshot prepares a configuration for lookups.
 func NewSnapshot(generation, version, digest uint64, c *Configuration) *Snapshot {
-	s := &Snapshot{
-		Generation:    generation,
-		Version:       version,
-		Digest:        digest,
-		Configuration: c,
-		router:        newRouter(c),
-		organisations: make(map[string]*Organisation, len(c.Organisations)),
-		services:      make(map[string]*Service, len(c.Services)),
-		dataCentres:   make(map[string]*DataCentre, len(c.DataCentres)),
+	s := &Snapshot{Generation: generation, Version: version, Digest: digest, Configuration: c}
+	s.router = newRouter(c)
+	s.organisations = byName(c.Organisations, func(o *Organisation) string { return o.Name })
+	s.services = byName(c.Services, func(v *Service) string { return v.Name })
+	s.dataCentres = byName(c.DataCentres, func(d *DataCentre) string { return d.Name })
+	return s
+}
+
+// derive returns the snapshot of the next generation. Lookups of kinds that
+// are not touched are shared with s.
+func (s *Snapshot) derive(h Head, version uint64, c *Configuration, touched map[Kind]bool) *Snapshot {
+	next := *s
+	next.Generation, next.Version, next.Digest, next.Configuration = h.Generation, version, h.Digest, c
+	if touched[KindRoute] || touched[KindService] || touched[KindSettings] {
+		next.router = newRouter(c)
 	}
-	for i := range c.Organisations {
-		s.organisations[c.Organisations[i].Name] = &c.Organisations[i]
+	if touched[KindOrganisation] {
+		next.organisations = byName(c.Organisations, func(o *Organisation) string { return o.Name })
 	}
-	for i := range c.Services {
-		s.services[c.Services[i].Name] = &c.Services[i]
+	if touched[KindService] {
+		next.services = byName(c.Services, func(v *Service) string { return v.Name })
 	}
-	for i := range c.DataCentres {
-		s.dataCentres[c.DataCentres[i].Name] = &c.DataCentres[i]
+	if touched[KindDataCentre] {
+		next.dataCentres = byName(c.DataCentres, func(d *DataCentre) string { return d.Name })
 	}
-	return s
+	return &next
+}
+
+func byName[T any](list []T, name func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(list))
+	for i := range list {
+		m[name(&list[i])] = &list[i]
+	}
+	return m
 }
 
 // EmptySnapshot is what is in force before anything was applied.
