service: compare endpoints by load, and by their times only when one stands out

Cause: at 3x demand the endpoints of the middle service swung between 1 and 100 running calls. The smoothed time of a call that calls further services is mostly that of the services below, so its noise outweighed the load; and one refusal was charged a second, so that all senders left an endpoint at once. Ruled out: stale reports (age about 25 ms), the two-choice draw (a random one did better, which pointed at the costs compared).

Change: the service's usual time replaces the endpoint's own unless that is half as long again; losses divide the cost instead of adding a fixed price. Reported service times are no longer used.

--- a/service/config.go
+++ b/service/config.go
@@ -34,11 +34,16 @@
 	// Smoothing is the time constant of the averages of what calls show.
 	Smoothing time.Duration
 
-	// AttemptPrice is the cost charged for an attempt that certainly fails; an
-	// endpoint is charged its recent failure ratio times this price.
-	AttemptPrice time.Duration
+	// SlowFactor is the multiple of the service's usual time from which an
+	// endpoint counts as slow. Below it endpoints are compared by load alone.
+	SlowFactor float64
 
-	// InitialService is the service time assumed until calls or reports show one.
+	// LossCap is the largest ratio of failed and refused attempts that is
+	// charged: an endpoint costs its expected time divided by one less the
+	// ratio. It is less than 1; 0 charges nothing.
+	LossCap float64
+
+	// InitialService is the service time assumed until calls show one.
 	InitialService time.Duration
 
 	// EjectAfter is the number of consecutive failures that ejects an
@@ -65,7 +70,8 @@
 		LargeBody:      256 << 10,
 		ReportTTL:      time.Second,
 		Smoothing:      time.Second,
-		AttemptPrice:   time.Second,
+		SlowFactor:     1.5,
+		LossCap:        0.98,
 		InitialService: 20 * time.Millisecond,
 		EjectAfter:     5,
 		EjectFor:       time.Second,
--- a/service/doc.go
+++ b/service/doc.go
@@ -9,16 +9,17 @@
 // three localities (own data centre, own region, another region) and compares
 // their expected cost:
 //
-//	cost = network latency + expected wait + expected loss
-//
-// The expected wait is the larger of two figures. One is predicted from the
-// work that the endpoint has: what it reported, corrected by what was sent
-// there since, and never less than what is in flight from here. The other is
-// what recent calls have shown. A report can therefore raise a cost but never
-// lower it below what calls show, so an endpoint that reports no load while it
-// is slow or failing attracts no traffic. The expected loss charges recent
-// failures and refusals at the price of an attempt, because an endpoint that
-// fails at once would otherwise look like the fastest one.
+//	cost = network latency + service time * (1 + outstanding / limit) / (1 - loss)
+//
+// Outstanding is the work that the endpoint has: what it reported, corrected by
+// what was sent there since, and never less than what is in flight from here.
+// The service time is the usual one of the service, except for an endpoint
+// whose calls have shown to take much longer. Loss is the recent ratio of
+// failed and refused attempts, so that an endpoint which fails at once does not
+// look like the fastest one. A report can therefore raise a cost but never
+// lower it below what calls show: an endpoint that reports no load while it is
+// slow or failing attracts no traffic. What calls have shown fades while an
+// endpoint is not used, and one attempt at a time tries it again.
 //
 // # Spill
 //
--- a/service/observe.go
+++ b/service/observe.go
@@ -14,7 +14,7 @@
 	case Succeeded:
 		s.succeed(now, o.Took, c)
 	case Failed:
-		s.fail(now, o.Took, c, mayEject)
+		s.fail(now, c, mayEject)
 	case FailedBelow, Expired:
 		s.lost = 0
 		s.fold(now, 0, o.Took, c)
@@ -45,10 +45,10 @@
 }
 
 // fail counts a failure and ejects the endpoint when the row is long enough.
-func (s *state) fail(now int64, took time.Duration, c *Config, mayEject func() bool) {
+func (s *state) fail(now int64, c *Config, mayEject func() bool) {
 	s.lost = 0
 	s.failures++
-	s.fold(now, 1, took, c)
+	s.fold(now, 1, 0, c)
 	if c.EjectAfter <= 0 || s.failures < c.EjectAfter || now < s.passUntil.Load() {
 		return
 	}
@@ -81,7 +81,8 @@
 }
 
 // fold updates the averages with one attempt: loss is 1 for an attempt that
-// brought no answer. took is 0 when it says nothing about service time.
+// brought no answer. took is 0 when it says nothing about service time, as
+// that of a failure, which may be quick.
 func (s *state) fold(now int64, loss float64, took time.Duration, c *Config) {
 	old := s.weight(now, c)
 	s.loss.store(s.loss.load()*old + loss*(1-old))
--- a/service/pick.go
+++ b/service/pick.go
@@ -112,7 +112,7 @@
 		s := w.usable[i]
 		n--
 		w.usable[i] = w.usable[n]
-		c := candidate{state: s, cost: s.cost(w.now, &w.picker.config)}
+		c := candidate{state: s, cost: w.cost(s)}
 		if best.state == nil {
 			best = c
 			continue
@@ -126,6 +126,11 @@
 	return best
 }
 
+// cost returns the expected time of one attempt at s in ns.
+func (w *pick) cost(s *state) float64 {
+	return s.cost(w.now, &w.picker.config, w.picker.usual.load())
+}
+
 // skip returns the ground on which this call cannot use s.
 func (w *pick) skip(s *state, nearer bool) Skip {
 	if slices.Contains(w.tried, s.endpoint.Peer) {
@@ -216,7 +221,7 @@
 	if best == nil {
 		return candidate{}
 	}
-	c := candidate{state: best, cost: best.cost(w.now, &w.picker.config)}
+	c := candidate{state: best, cost: w.cost(best)}
 	if !w.linkTakes(c) {
 		return candidate{}
 	}
--- a/service/picker.go
+++ b/service/picker.go
@@ -16,6 +16,7 @@
 	start  time.Time
 	link   Link
 	answer atomic.Int64 // smoothed size of an answer's body, bytes
+	usual  atomicFloat  // smoothed time of answered attempts at any endpoint less latency, ns
 
 	set  sync.Mutex // serialises SetEndpoints
 	view atomic.Pointer[view]
@@ -33,6 +34,7 @@
 	p := &Picker{config: c, self: self, seed: seed, start: start}
 	p.view.Store(&view{})
 	p.answer.Store(answerBytes)
+	p.usual.store(float64(c.InitialService))
 	return p
 }
 
@@ -126,21 +128,27 @@
 	if s.inFlight.Add(-1) < 0 {
 		s.inFlight.Add(1) // begun before the endpoint was replaced
 	}
-	p.size(o.Bytes)
+	p.learn(o, s.locality)
 	t := p.since(now)
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
 }
 
-// answerWeight is the part by which one answer moves the smoothed size.
-const answerWeight = 16
+// usualWeight is the part by which one answer moves the service's averages.
+const usualWeight = 1.0 / 32
 
-// size folds the size of one answer into the smoothed size. An update that is
+// learn folds one answer into the averages of the service. An update that is
 // lost to a concurrent one does no harm.
-func (p *Picker) size(n int64) {
-	if n > 0 {
+func (p *Picker) learn(o Observation, l Locality) {
+	if o.Result != Succeeded {
+		return
+	}
+	if o.Bytes > 0 {
 		old := p.answer.Load()
-		p.answer.Store(old + (n-old)/answerWeight)
+		p.answer.Store(old + int64(float64(o.Bytes-old)*usualWeight))
 	}
+	took := max(float64(o.Took-p.config.Latency[l]), 1)
+	old := p.usual.load()
+	p.usual.store(old + (took-old)*usualWeight)
 }
 
 // since returns the time on the Picker's own clock, ns.
--- a/service/state.go
+++ b/service/state.go
@@ -33,7 +33,7 @@
 	ejections  int   // consecutive ejections, for the doubling
 	observedAt int64 // time of the last observation, ns
 
-	took       atomicFloat  // smoothed time of attempts less network latency, ns
+	took       atomicFloat  // smoothed time of answered attempts less network latency, ns
 	loss       atomicFloat  // smoothed ratio of failed and refused attempts
 	shownAt    atomic.Int64 // time of the last observation, ns
 	passUntil  atomic.Int64 // not used before this time, ns
@@ -79,21 +79,22 @@
 	return max(here, reported)
 }
 
-// cost returns the expected time of one attempt in ns, latency included.
-func (s *state) cost(now int64, c *Config) float64 {
-	r := s.freshReport(now, c.ReportTTL)
+// cost returns the expected time until an attempt is answered in ns, latency
+// included. typical is the usual time of an attempt at the service.
+//
+// Endpoints whose calls take about as long as usual are told apart by their
+// load alone, because the time of calls that call further services says little
+// about the endpoint.
+func (s *state) cost(now int64, c *Config, typical float64) float64 {
 	fade := s.fade(now, c)
-	prior := float64(c.InitialService)
-	if r != nil && r.Service > 0 {
-		prior = float64(r.Service)
-	}
-	shown := prior
-	if took := s.took.load(); took > 0 {
-		shown += (took - prior) * fade
+	served := typical
+	if took := s.took.load(); took > c.SlowFactor*typical {
+		served += (took - typical) * fade
 	}
-	predicted := min(prior, shown) * (1 + s.outstanding(r)/s.limit(r))
-	wait := max(predicted, shown)
-	return float64(c.Latency[s.locality]) + wait + s.loss.load()*fade*float64(c.AttemptPrice)
+	r := s.freshReport(now, c.ReportTTL)
+	wait := served * (1 + s.outstanding(r)/s.limit(r))
+	loss := min(s.loss.load()*fade, c.LossCap)
+	return float64(c.Latency[s.locality]) + wait/(1-loss)
 }
 
 // fade returns the weight of what calls have shown. It falls while the
