config: objects that are shared out carry the generation of their last change

Cause: the share protocol orders versions of one contract; with the generation of the whole configuration as version, every apply would restart every contract. Change: Apply stamps organisations, links and the set of data centres with the generation in which they last changed; files cannot set the stamp. Before: no version per contract.

--- a/config/apply.go
+++ b/config/apply.go
@@ -110,6 +110,7 @@
 // or, for a store that did not take the write, platform.UnavailableError.
 func Apply(ctx context.Context, table platform.Table, base *Stored, next *Configuration, id string) (Result, error) {
 	res := Result{ID: id, Generation: base.Snapshot.Generation}
+	next = stampSince(base.Snapshot.Configuration, next, base.Snapshot.Generation+1)
 	rows, err := diffRows(base.content, next)
 	if err != nil {
 		res.Outcome = Rejected
--- a/config/decode.go
+++ b/config/decode.go
@@ -93,11 +93,14 @@
 	}
 }
 
+// notInFiles is the name of fields that files cannot set.
+const notInFiles = "-"
+
 // fieldByTag returns the field of a struct by its name in files.
 func fieldByTag(target reflect.Value, name string) (reflect.Value, bool) {
 	t := target.Type()
 	for i := range t.NumField() {
-		if fieldName(t.Field(i)) == name {
+		if name != notInFiles && fieldName(t.Field(i)) == name {
 			return target.Field(i), true
 		}
 	}
@@ -112,9 +115,11 @@
 
 // fieldNames lists the fields of a struct as files name them.
 func fieldNames(t reflect.Type) string {
-	names := make([]string, t.NumField())
+	names := make([]string, 0, t.NumField())
 	for i := range t.NumField() {
-		names[i] = fieldName(t.Field(i))
+		if name := fieldName(t.Field(i)); name != notInFiles {
+			names = append(names, name)
+		}
 	}
 	sort.Strings(names)
 	return strings.Join(names, ", ")
--- a/config/diff.go
+++ b/config/diff.go
@@ -136,6 +136,7 @@
 	for i := range v.NumField() {
 		name, field := path+fieldName(v.Type().Field(i)), v.Field(i)
 		switch {
+		case fieldName(v.Type().Field(i)) == notInFiles:
 		case field.Kind() == reflect.Struct:
 			flattenStruct(field, name+".", out)
 		case name != "name" && name != "digest" && !field.IsZero():
--- a/config/objects.go
+++ b/config/objects.go
@@ -27,6 +27,10 @@
 	// over 100. Data centres that are left out start with nothing. The default
 	// is an even split.
 	Split map[string]float64 `yaml:"split,omitempty" json:"split,omitempty" validate:"dive,gte=0,lte=100"`
+
+	// Since is the generation in which rate, burst or split last changed. Apply
+	// sets it; files cannot.
+	Since uint64 `yaml:"-" json:"since,omitempty"`
 }
 
 // Key is the digest of a key that an organisation's callers present. The key
@@ -119,6 +123,10 @@
 
 	// BytesPerSecond is the capacity each way, for all traffic together.
 	BytesPerSecond Bytes `yaml:"bytes_per_second" json:"bytes_per_second" validate:"gt=0"`
+
+	// Since is the generation in which the capacity last changed. Apply sets it;
+	// files cannot.
+	Since uint64 `yaml:"-" json:"since,omitempty"`
 }
 
 // Settings are choices for the whole fleet.
@@ -128,6 +136,10 @@
 
 	// Claims is about idempotency keys.
 	Claims ClaimSettings `yaml:"claims" json:"claims"`
+
+	// DataCentresSince is the generation in which a data centre was last added
+	// or removed. Apply sets it; files cannot.
+	DataCentresSince uint64 `yaml:"-" json:"data_centres_since,omitempty"`
 }
 
 // KeySettings say what a key is worth while nothing can confirm it.
