--- /dev/null
+++ b/instance/control.go
@@ -0,0 +1,328 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wisteriafold/config"
+	"wisteriafold/contract"
+	"wisteriafold/datacentre"
+	"wisteriafold/platform"
+	"wisteriafold/service"
+	"wisteriafold/wire"
+)
+
+const (
+	tickEvery   = 25 * time.Millisecond
+	gateTick    = 100 * time.Millisecond
+	controlRead = 2 * time.Second // of one store operation for control
+)
+
+// event is something that the control goroutine has to deal with.
+type event interface {
+	apply(c *control, now time.Time)
+}
+
+// control is the state of the control goroutine. Only that goroutine touches
+// it; the machines in it do no I/O and keep no clock.
+type control struct {
+	d       *Daemon
+	mailbox chan event
+
+	spread  *config.Spreader
+	members *datacentre.Directory
+	shares  *contract.Machine
+
+	seen      *datacentre.Snapshot
+	announced bool
+	draining  bool // the backend server or this daemon is leaving
+	absent    int  // refused connections in a row
+	gateNext  time.Time
+	farewell  chan struct{} // closed when shares and roster are given up
+	contracts uint64        // generation that the share machine works with
+}
+
+func newControl(d *Daemon) *control {
+	c := &control{d: d, mailbox: make(chan event, d.set.Limits.MailboxSize)}
+	out := outbox{d}
+	rng := func() *rand.Rand { return rand.New(rand.NewPCG(d.random(), d.random())) }
+	c.spread = config.NewSpreader(config.Options{
+		Self:       d.self.Peer,
+		DataCentre: d.self.DataCentre,
+		Seeds:      d.set.Seeds,
+		Outbox:     spreadOutbox{out},
+		Fetch:      c.fetch,
+		Publish:    c.publish,
+		Random:     rng(),
+	})
+	dc := datacentre.Defaults()
+	dc.Self = d.self.Peer
+	dc.DataCentre = d.self.DataCentre
+	dc.Region = d.self.Region
+	dc.Seeds = d.set.Seeds
+	dc.FarSeeds = d.set.FarSeeds
+	c.members = datacentre.NewDirectory(d.epoch, dc, memberOutbox{out}, jobs{d}, rng())
+	c.shares = contract.New(contract.Config{
+		Self:       d.self.Peer,
+		DataCentre: d.self.DataCentre,
+		Epoch:      d.epoch,
+		Rand:       rng(),
+		Outbox:     loanOutbox{out},
+	})
+	d.view.Store(newView(config.EmptySnapshot(), nil))
+	return c
+}
+
+// post gives an event to the control goroutine. Traffic never waits for it: an
+// event that finds the mailbox full is dropped and counted.
+func (d *Daemon) post(e event) {
+	select {
+	case d.control.mailbox <- e:
+	default:
+		d.stats.mailbox.Add(1)
+	}
+}
+
+func (c *control) run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.mailbox:
+			c.work(func(now time.Time) { e.apply(c, now) })
+		case <-c.shares.Wake():
+			c.work(c.shares.Tick)
+		case <-t.C:
+			c.work(c.tick)
+		}
+	}
+}
+
+// work runs one step and counts the time it took.
+func (c *control) work(step func(now time.Time)) {
+	now := c.d.now()
+	step(now)
+	c.d.stats.control.Add(int64(c.d.now().Sub(now)))
+}
+
+func (c *control) tick(now time.Time) {
+	c.members.Tick(now)
+	c.takeMembers(now)
+	c.spread.Tick(now)
+	c.d.confirmed.Store(int64(c.spread.ConfirmedAt().Sub(c.d.epoch)))
+	c.shares.Tick(now)
+	if !now.Before(c.gateNext) {
+		c.gateNext = now.Add(gateTick)
+		c.d.gate.Tick()
+	}
+	c.tickFarewell(now)
+}
+
+// takeMembers passes on what has changed among the members.
+func (c *control) takeMembers(now time.Time) {
+	s := c.members.Snapshot()
+	if s == c.seen {
+		return
+	}
+	c.seen = s
+	for _, r := range s.Rosters() {
+		c.spread.SetRoster(r.DataCentre, r.Addresses)
+	}
+	c.setRosters(now)
+	c.d.targets.Range(func(_, v any) bool {
+		t := v.(*target)
+		t.picker.SetEndpoints(s.Endpoints(t.name))
+		return true
+	})
+}
+
+// setRosters tells the share machine of the roster of every data centre, and of
+// those that the configuration names but that never had one.
+func (c *control) setRosters(now time.Time) {
+	known := make(map[string]bool)
+	var newest time.Time
+	for _, r := range c.seen.Rosters() {
+		known[r.DataCentre] = true
+		if r.ConfirmedAt.After(newest) {
+			newest = r.ConfirmedAt
+		}
+		c.shares.SetRoster(now, contract.Roster{
+			DataCentre:  r.DataCentre,
+			Version:     r.Version,
+			Addresses:   r.Addresses,
+			Expelled:    r.Expelled,
+			ConfirmedAt: r.ConfirmedAt,
+		})
+	}
+	for _, dc := range c.spread.Snapshot().Configuration.DataCentres {
+		if !known[dc.Name] && !newest.IsZero() {
+			c.shares.SetRoster(now, contract.Roster{DataCentre: dc.Name, ConfirmedAt: newest})
+		}
+	}
+}
+
+// publish is called by the spreader with what is in force from now on.
+func (c *control) publish(s *config.Snapshot, withdrawn []string) {
+	now := c.d.now()
+	old := c.d.view.Load()
+	fresh := newView(s, withdrawn)
+	c.d.view.Store(fresh)
+	c.d.cutWithdrawn(old, fresh)
+	if s.Generation != c.contracts {
+		c.contracts = s.Generation
+		c.setContracts(now, s)
+	}
+	for i := range s.Configuration.Services {
+		c.members.Subscribe(now, s.Configuration.Services[i].Name)
+	}
+	c.d.log.Info("configuration in force", "instance", c.d.set.Instance, "generation", s.Generation, "withdrawn_early", len(withdrawn))
+}
+
+func (c *control) setContracts(now time.Time, s *config.Snapshot) {
+	err := c.shares.SetContracts(now, s.Generation, contractsOf(s.Configuration))
+	if err != nil {
+		c.d.log.Error("contracts not taken", "generation", s.Generation, "err", err)
+	}
+	if c.seen != nil {
+		c.setRosters(now)
+	}
+}
+
+// contractsOf returns the contracts of all organisations and links.
+func contractsOf(conf *config.Configuration) []contract.Contract {
+	var out []contract.Contract
+	for i := range conf.Organisations {
+		o := &conf.Organisations[i]
+		out = append(out, contract.Contract{
+			Name:    o.Name,
+			Version: conf.ContractVersion(o),
+			Rate:    o.Rate,
+			Burst:   o.Burst,
+			Shares:  sharesOf(conf, func(dc string) float64 { return conf.Share(o, dc) }),
+		})
+	}
+	for i := range conf.Links {
+		l := &conf.Links[i]
+		out = append(out, contract.Contract{
+			Name:    linkContract(l),
+			Version: conf.LinkVersion(l),
+			Rate:    float64(l.BytesPerSecond) / 2, // both sides draw on the same contract
+			Burst:   float64(l.BytesPerSecond) / 2,
+			Shares:  sharesOf(conf, func(dc string) float64 { return linkShare(conf, l, dc) }),
+		})
+	}
+	return out
+}
+
+func sharesOf(conf *config.Configuration, share func(dataCentre string) float64) []contract.Share {
+	var out []contract.Share
+	for _, dc := range conf.DataCentres {
+		if w := share(dc.Name); w > 0 {
+			out = append(out, contract.Share{DataCentre: dc.Name, Weight: w})
+		}
+	}
+	return out
+}
+
+// linkShare gives each data centre at an end of the link the same part.
+func linkShare(conf *config.Configuration, l *config.Link, dataCentre string) float64 {
+	for _, dc := range conf.DataCentres {
+		if dc.Name == dataCentre && (dc.Region == l.Regions[0] || dc.Region == l.Regions[1]) {
+			return 1
+		}
+	}
+	return 0
+}
+
+// fetch reads the configuration from the store on a worker goroutine.
+func (c *control) fetch(since uint64) {
+	d := c.d
+	d.submit(func(ctx context.Context) event {
+		u, err := (config.Reader{Table: d.table}).Read(ctx, since)
+		return fetched{u, err}
+	}, func() event { return fetched{err: errBusy} })
+}
+
+// submit runs work on the pool and posts its result; when the pool is full it
+// posts what instead returns.
+func (d *Daemon) submit(work func(context.Context) event, instead func() event) {
+	_, ok := d.pool.TrySubmit(func() {
+		ctx, cancel := context.WithTimeout(d.background, controlRead)
+		defer cancel()
+		d.post(work(ctx))
+	})
+	if !ok {
+		d.post(instead())
+	}
+}
+
+var errBusy = &platform.UnavailableError{Op: "a read for control", Cause: context.DeadlineExceeded}
+
+// fetched is the event that a read of the configuration ended.
+type fetched struct {
+	update config.Update
+	err    error
+}
+
+func (e fetched) apply(c *control, now time.Time) { c.spread.Fetched(now, e.update, e.err) }
+
+// jobs runs the directory's store operations on the pool.
+type jobs struct{ d *Daemon }
+
+// Submit implements datacentre.Jobs.
+func (j jobs) Submit(job datacentre.Job) {
+	j.d.submit(func(ctx context.Context) event {
+		return jobDone{datacentre.Run(ctx, j.d.table, job)}
+	}, func() event { return jobDone{datacentre.Result{Job: job, Err: errBusy}} })
+}
+
+// jobDone is the event that a store operation of the directory ended.
+type jobDone struct{ result datacentre.Result }
+
+func (e jobDone) apply(c *control, now time.Time) { c.members.Finish(now, e.result) }
+
+// received is the event that a control message came in.
+type received struct {
+	from string
+	msg  *wire.Control
+}
+
+func (e received) apply(c *control, now time.Time) {
+	switch k := e.msg.Kind.(type) {
+	case *wire.Control_Loan:
+		c.shares.Receive(now, e.from, k.Loan)
+	case *wire.Control_Spread:
+		c.spread.Receive(now, e.from, k.Spread)
+	case *wire.Control_Member:
+		c.members.Receive(now, e.from, k.Member)
+		c.takeMembers(now)
+	}
+}
+
+// ReceiveControl implements link.Handler.
+func (d *Daemon) ReceiveControl(from string, m *wire.Control) { d.post(received{from, m}) }
+
+// subscribed is the event that traffic calls a service for the first time.
+type subscribed struct{ t *target }
+
+func (e subscribed) apply(c *control, now time.Time) {
+	c.members.Subscribe(now, e.t.name)
+	e.t.picker.SetEndpoints(c.members.Snapshot().Endpoints(e.t.name))
+}
+
+// endpoint describes this daemon's backend server.
+func (c *control) endpoint() service.Endpoint {
+	b := c.d.set.Backend
+	return service.Endpoint{
+		Peer:        c.d.self.Peer,
+		Service:     b.Service,
+		DataCentre:  c.d.self.DataCentre,
+		Region:      c.d.self.Region,
+		Slots:       uint32(b.Slots),
+		Connections: uint32(b.Connections),
+		Incarnation: c.d.incarnation,
+	}
+}
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -84,6 +84,7 @@
 	table     platform.Table
 	objects   platform.Objects
 	stopping  atomic.Bool
+	announced atomic.Bool
 	inFlight  atomic.Int64 // outside requests in progress, their streaming answers included
 
 	traffic     context.Context // ends when calls are cut
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -28,10 +28,14 @@
 	Backend  Backend  `yaml:"backend"`
 	Platform Platform `yaml:"platform"`
 
-	// Seeds are peer addresses that a new daemon asks first. They need not all
-	// be up.
+	// Seeds are peer addresses of the own data centre that a new daemon asks
+	// first. They need not all be up; the same list for all daemons is best.
 	Seeds []string `yaml:"seeds" validate:"dive,hostname_port"`
 
+	// FarSeeds are peer addresses of other data centres, asked while none of
+	// their rosters is known.
+	FarSeeds []string `yaml:"far_seeds" validate:"dive,hostname_port"`
+
 	TLS    TLS    `yaml:"tls"`
 	Limits Limits `yaml:"limits"`
 
