Configuration spreads from two relays through two trees, repaired by peers

Cause: 16,000 daemons can't read the store, and changes must arrive where only a peer can be reached. A daemon must neither go back nor hold half a generation.

Change: config.Spreader, a state machine without clock or I/O. Two relays in each data centre read the changes twice a second; deltas travel one tree over the roster and announcements, with the withdrawn keys, a second one whose inner nodes are leaves of the first. Asks to the parents repair, carry the age of knowledge down and confirmations up. Candidates take over when knowledge ages; relays without the store ask other data centres and are told news for a while.

Checked in virtual time on fixed seeds: partitions, losses, dead inner nodes, dead relays, one daemon that reaches the store, restarts with the store down, withdrawals ahead of their generation, contents that do not fit their digest.

Conclusion: in force within 2 s wherever the store or a peer that has it can be reached, up to 120 daemons in a data centre in the tests.

--- a/config/content.go
+++ b/config/content.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -63,32 +64,46 @@
 	return sum
 }
 
-// take brings the content to a generation. Each key occurs once in rows. full
-// says that rows are everything. When the rows do not lead to digest, or one
-// of them can't be read, nothing is changed and the error is a CorruptError.
-func (c *content) take(h Head, version uint64, full bool, rows []Row) error {
-	base := c
-	if full {
-		base = newContent()
+// against returns what leads from the content to all rows of another one.
+func (c *content) against(all []Row) []Row {
+	var out []Row
+	kept := make(map[string]bool, len(all))
+	for _, r := range all {
+		kept[r.Key] = true
+		if old, known := c.rows[r.Key]; !known || !bytes.Equal(old, r.Value) {
+			out = append(out, r)
+		}
+	}
+	for key := range c.rows {
+		if !kept[key] {
+			out = append(out, Row{Key: key, Deleted: true})
+		}
 	}
-	if got := base.digestAfter(rows); got != h.Digest {
+	sortRows(out)
+	return out
+}
+
+// take brings the content to a generation by the rows that change, each key
+// once. When the rows do not lead to the head's digest, or one of them can't
+// be read, nothing is changed and the error is a CorruptError.
+func (c *content) take(h Head, version uint64, rows []Row) error {
+	if got := c.digestAfter(rows); got != h.Digest {
 		return &CorruptError{h.Generation, fmt.Sprintf("its digest is %016x, not %016x", got, h.Digest)}
 	}
-	conf := *base.snapshot.Configuration
+	conf := *c.snapshot.Configuration
 	touched, err := patch(&conf, rows)
 	if err != nil {
 		return &CorruptError{h.Generation, err.Error()}
 	}
 	for _, r := range rows {
 		if r.Deleted {
-			delete(base.rows, r.Key)
+			delete(c.rows, r.Key)
 		} else {
-			base.rows[r.Key] = r.Value
+			c.rows[r.Key] = r.Value
 		}
 	}
-	c.rows = base.rows
 	c.digest = h.Digest
-	c.snapshot = base.snapshot.derive(h, version, &conf, touched)
+	c.snapshot = c.snapshot.derive(h, version, &conf, touched)
 	return nil
 }
 
@@ -119,3 +134,13 @@
 	}
 	return touched, nil
 }
+
+// all returns every row, in order.
+func (c *content) all() []Row {
+	out := make([]Row, 0, len(c.rows))
+	for key, value := range c.rows {
+		out = append(out, Row{Key: key, Value: value})
+	}
+	sortRows(out)
+	return out
+}
--- /dev/null
+++ b/config/fleet_test.go
@@ -0,0 +1,209 @@
+package config
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"wisteriafold/platform/memory"
+	"wisteriafold/wire"
+)
+
+// fleet runs spreaders over in-memory links in virtual time. Everything in it
+// follows from its seed.
+type fleet struct {
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Time
+	queue   events
+	order   uint64
+	store   *memory.Store
+	daemons map[string]*daemon
+	names   []string
+	rosters map[string][]string
+
+	cut   func(from, to string) bool // links that lose everything
+	blind func(daemon string) bool   // daemons that don't reach the store
+	loss  float64                    // probability that a message is lost
+	bytes int                        // sent, marshalled
+	reads int                        // of the store
+}
+
+// daemon is one spreader and what it has published.
+type daemon struct {
+	*Spreader
+	dc        string
+	f         *fleet
+	published *Snapshot
+	withdrawn []string
+	stopped   bool
+}
+
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+const tickEvery = 50 * time.Millisecond
+
+func newFleet(t testing.TB, seed uint64, dataCentres, each int) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), store: memory.New(),
+		daemons: map[string]*daemon{}, rosters: map[string][]string{},
+		cut: func(string, string) bool { return false }, blind: func(string) bool { return false },
+	}
+	for dc := range dataCentres {
+		name := fmt.Sprintf("dc%d", dc)
+		for i := range each {
+			f.rosters[name] = append(f.rosters[name], fmt.Sprintf("10.%d.%d.%d:7000", dc, i/250, i%250))
+		}
+	}
+	for dc := range dataCentres {
+		name := fmt.Sprintf("dc%d", dc)
+		for _, address := range f.rosters[name] {
+			f.names = append(f.names, address)
+			f.start(address, name)
+		}
+	}
+	return f
+}
+
+// start starts a daemon with nothing, also in place of one that was there.
+func (f *fleet) start(address, dc string) *daemon {
+	if old := f.daemons[address]; old != nil {
+		old.stopped = true
+	}
+	d := &daemon{dc: dc, f: f}
+	d.Spreader = NewSpreader(Options{
+		Self: address, DataCentre: dc, Outbox: d, Fetch: d.fetch, Publish: d.publish,
+		Random: rand.New(rand.NewPCG(f.random.Uint64(), 2)),
+	})
+	for name, roster := range f.rosters {
+		d.SetRoster(name, roster)
+	}
+	f.daemons[address] = d
+	d.ticks(time.Duration(f.random.Int64N(int64(tickEvery))))
+	return d
+}
+
+func (d *daemon) ticks(after time.Duration) {
+	d.f.after(after, func() {
+		if !d.stopped {
+			d.Tick(d.f.now)
+			d.ticks(tickEvery)
+		}
+	})
+}
+
+func (d *daemon) publish(s *Snapshot, withdrawn []string) {
+	if d.published != nil {
+		require.GreaterOrEqual(d.f.t, s.Generation, d.published.Generation, "a step back")
+	}
+	d.published, d.withdrawn = s, withdrawn
+}
+
+// Send implements Outbox.
+func (d *daemon) Send(to string, m *wire.Spread) {
+	f := d.f
+	raw, err := proto.Marshal(m)
+	require.NoError(f.t, err)
+	f.bytes += len(raw)
+	from := d.o.Self
+	if d.stopped || f.cut(from, to) || f.random.Float64() < f.loss {
+		return
+	}
+	latency := time.Millisecond
+	if target := f.daemons[to]; target != nil && target.dc != d.dc {
+		latency = 20 * time.Millisecond
+	}
+	f.after(latency, func() {
+		target := f.daemons[to]
+		if target == nil || target.stopped {
+			return
+		}
+		got := new(wire.Spread)
+		require.NoError(f.t, proto.Unmarshal(raw, got))
+		target.Receive(f.now, from, got)
+	})
+}
+
+// fetch reads the store as a worker would, 20 ms there and back.
+func (d *daemon) fetch(since uint64) {
+	d.f.reads++
+	d.f.after(20*time.Millisecond, func() {
+		if d.stopped {
+			return
+		}
+		if d.f.blind(d.o.Self) {
+			d.Fetched(d.f.now, Update{}, context.DeadlineExceeded)
+			return
+		}
+		u, err := Reader{d.f.store}.Read(context.Background(), since)
+		d.f.after(20*time.Millisecond, func() { d.Fetched(d.f.now, u, err) })
+	})
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{f.now.Add(d), f.order, run})
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// apply puts a configuration in force in the store.
+func (f *fleet) apply(c *Configuration) uint64 {
+	f.t.Helper()
+	return mustApply(f.t, f.store, c, rand.NewChaCha8([32]byte{byte(f.random.Uint32()), byte(f.random.Uint32())})).Generation
+}
+
+// behind returns the daemons, among those chosen, that lack a generation.
+func (f *fleet) behind(generation uint64, among func(string) bool) []string {
+	var out []string
+	for _, name := range f.names {
+		d := f.daemons[name]
+		if !d.stopped && (among == nil || among(name)) && (d.published == nil || d.published.Generation < generation) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func withKeys(c *Configuration, n int) *Configuration {
+	out := *c
+	out.Keys = nil
+	for i := range n {
+		out.Keys = append(out.Keys, Key{Digest: fmt.Sprintf("sha256:%064x", i), Organisation: "a"})
+	}
+	return &out
+}
--- /dev/null
+++ b/config/spread_test.go
@@ -0,0 +1,254 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// inForce is the time within which a change must be in force wherever the
+// store or a peer that can reach it can be reached.
+const inForce = 2 * time.Second
+
+func TestChangeIsInForceEverywhereInTime(t *testing.T) {
+	for _, size := range []struct{ dataCentres, each int }{{1, 1}, {2, 2}, {4, 4}, {3, 120}} {
+		t.Run(fmt.Sprintf("%dx%d", size.dataCentres, size.each), func(t *testing.T) {
+			f := newFleet(t, 1, size.dataCentres, size.each)
+			f.apply(marked(1))
+			f.run(20 * time.Second)
+			for i := 2; i < 8; i++ {
+				g := f.apply(marked(i))
+				f.run(inForce)
+				require.Empty(t, f.behind(g, nil))
+			}
+			for _, d := range f.daemons {
+				require.Equal(t, marked(7), d.published.Configuration)
+			}
+		})
+	}
+}
+
+func TestReadsOfTheStoreDoNotGrowWithTheFleet(t *testing.T) {
+	for _, each := range []int{4, 120} {
+		f := newFleet(t, 1, 2, each)
+		f.apply(marked(1))
+		f.run(20 * time.Second)
+		f.reads = 0
+		f.run(60 * time.Second)
+		// two relays in each of two data centres, two reads a second each
+		require.LessOrEqual(t, f.reads, 2*relayCount*2*60+8, "with %d in each data centre", each)
+	}
+}
+
+func TestOneDaemonThatReachesTheStoreIsEnough(t *testing.T) {
+	f := newFleet(t, 2, 4, 4)
+	f.apply(marked(1))
+	f.run(10 * time.Second)
+	sighted := f.daemons[f.names[0]].topology.relays[0]
+	f.blind = func(d string) bool { return d != sighted }
+	f.run(5 * time.Second)
+	for i := 2; i < 12; i++ {
+		g := f.apply(marked(i))
+		f.run(inForce)
+		require.Empty(t, f.behind(g, nil), "generation %d", g)
+	}
+	for _, d := range f.daemons {
+		require.Less(t, f.now.Sub(d.ConfirmedAt()), 10*time.Second, "knowledge comes by way of peers")
+	}
+}
+
+func TestPartitionHealsAndNothingGoesBack(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		f := newFleet(t, seed, 3, 12)
+		f.loss = 0.05
+		f.apply(marked(1))
+		f.run(15 * time.Second)
+		side := func(a string) bool { return strings.HasPrefix(a, "10.2.") }
+		f.cut = func(a, b string) bool { return side(a) != side(b) }
+		f.blind = side
+		var g uint64
+		for i := 2; i < 20; i++ {
+			g = f.apply(marked(i))
+			f.run(500 * time.Millisecond)
+		}
+		f.run(inForce)
+		require.Empty(t, f.behind(g, func(a string) bool { return !side(a) }))
+		require.Len(t, f.behind(2, side), 12, "the cut is real")
+		for _, a := range f.rosters["dc2"] {
+			require.Greater(t, f.now.Sub(f.daemons[a].ConfirmedAt()), 10*time.Second, "those cut off know that they are")
+		}
+		f.cut = func(string, string) bool { return false }
+		f.run(5 * time.Second) // store still out of reach: peers bring it
+		require.Empty(t, f.behind(g, nil))
+	}
+}
+
+func TestDaemonStartedWhileTheStoreIsDownTakesTheNewestFromPeers(t *testing.T) {
+	f := newFleet(t, 3, 2, 6)
+	f.apply(withKeys(marked(1), 2000)) // more than one part
+	f.run(10 * time.Second)
+	g := f.apply(withKeys(marked(2), 1999))
+	f.run(5 * time.Second)
+	f.blind = func(string) bool { return true }
+	for _, address := range f.rosters["dc0"] {
+		f.start(address, "dc0")
+		f.run(inForce)
+		require.Empty(t, f.behind(g, nil))
+		require.Len(t, f.daemons[address].published.Configuration.Keys, 1999)
+	}
+	// a whole data centre at once has only the other one to ask
+	for _, address := range f.rosters["dc1"] {
+		f.start(address, "dc1")
+	}
+	f.run(5 * time.Second)
+	require.Empty(t, f.behind(g, nil))
+}
+
+func TestDaemonThatIsOnNoRosterAsksItsSeeds(t *testing.T) {
+	f := newFleet(t, 4, 1, 3)
+	g := f.apply(marked(1))
+	f.run(5 * time.Second)
+	f.rosters = map[string][]string{}
+	f.names = append(f.names, "10.9.0.0:7000")
+	d := f.start("10.9.0.0:7000", "dc9")
+	d.o.Seeds = []string{"10.0.0.9:7000", "10.0.0.1:7000"} // the first is nobody
+	f.run(inForce)
+	require.Empty(t, f.behind(g, nil))
+}
+
+// Two thirds of one data centre, inner nodes of both trees among them, are
+// dead but still on the roster.
+func TestDeadDaemonsDoNotCutOffTheLiving(t *testing.T) {
+	f := newFleet(t, 5, 1, 60)
+	f.apply(marked(1))
+	f.run(20 * time.Second)
+	top := f.daemons[f.names[0]].topology
+	for i, address := range top.order {
+		if i%3 != 0 && top.rank(address) != 0 {
+			f.daemons[address].stopped = true
+		}
+	}
+	f.run(20 * time.Second)
+	for i := 2; i < 6; i++ {
+		g := f.apply(marked(i))
+		f.run(2 * inForce)
+		require.Empty(t, f.behind(g, nil))
+	}
+}
+
+func TestCandidateTakesOverWhenBothRelaysAreDead(t *testing.T) {
+	f := newFleet(t, 6, 1, 20)
+	f.apply(marked(1))
+	f.run(20 * time.Second)
+	for _, r := range f.daemons[f.names[0]].topology.relays[:relayCount] {
+		f.daemons[r].stopped = true
+	}
+	f.run(takeoverAge + 4*takeoverStep)
+	g := f.apply(marked(2))
+	f.run(takeoverAge + 4*takeoverStep)
+	require.Empty(t, f.behind(g, nil))
+}
+
+// The generation that withdraws a key is large and its later parts are lost:
+// the key is refused all the same, and nothing else of it is in force.
+func TestWithdrawalGoesFirstInLine(t *testing.T) {
+	f := newFleet(t, 7, 1, 6)
+	c := withKeys(marked(1), 3000)
+	f.apply(c)
+	f.run(15 * time.Second)
+	last := f.daemons[f.names[0]].topology.relays
+	d := f.daemons[last[len(last)-1]]
+	g0 := d.Snapshot().Generation
+	next := withKeys(marked(2), 2999)
+	next.Organisations = append(next.Organisations, manyOrganisations(1000)...)
+	relay := f.daemons[d.topology.relays[0]]
+	f.apply(next)
+	f.cut = func(string, string) bool { return true }
+	f.run(time.Second)
+	require.Equal(t, g0+1, relay.Snapshot().Generation)
+	parts := relay.deltas(g0, true)
+	require.Greater(t, len(parts), 1)
+	d.receiveDelta(f.now, relay.o.Self, parts[0])
+	require.Equal(t, []string{c.Keys[2999].Digest}, d.withdrawn)
+	require.Equal(t, g0, d.published.Generation)
+	require.Equal(t, 1.0, d.published.Organisations()[0].Rate)
+	f.cut = func(string, string) bool { return false }
+	f.run(2 * inForce)
+	require.Empty(t, d.withdrawn)
+	require.Equal(t, g0+1, d.published.Generation)
+}
+
+func manyOrganisations(n int) []Organisation {
+	out := make([]Organisation, n)
+	for i := range out {
+		out[i] = Organisation{Name: fmt.Sprintf("c%04d", i), Rate: 1, Burst: 1, Weight: 1}
+	}
+	return out
+}
+
+// Organisations returns the organisations that are in force.
+func (s *Snapshot) Organisations() []Organisation { return s.Configuration.Organisations }
+
+func TestPartOfAnotherContentIsNeverTaken(t *testing.T) {
+	f := newFleet(t, 8, 1, 3)
+	f.apply(marked(1))
+	f.run(5 * time.Second)
+	d := f.daemons[f.names[0]]
+	parts := d.deltas(0, false)
+	parts[0].Generation += 5
+	parts[0].Rows = parts[0].Rows[1:]
+	d.receiveDelta(f.now, f.names[1], parts[0])
+	require.Equal(t, uint64(1), d.Snapshot().Generation)
+	g := f.apply(marked(2))
+	f.run(inForce)
+	require.Empty(t, f.behind(g, nil))
+}
+
+func TestConfirmationNamesThoseThatLag(t *testing.T) {
+	f := newFleet(t, 9, 3, 40)
+	g := f.apply(marked(1))
+	f.run(25 * time.Second)
+	asker := f.daemons[f.names[0]]
+	asker.AskConfirmed(f.now)
+	f.run(time.Second)
+	status := asker.Confirmed()
+	require.Len(t, status, 3)
+	for _, s := range status {
+		require.True(t, s.Confirmed(g), "%+v", s)
+		require.Empty(t, s.Laggards)
+	}
+	dead := f.rosters["dc1"][7]
+	f.daemons[dead].stopped = true
+	f.run(2 * reportExpiry)
+	g = f.apply(marked(2))
+	f.run(6 * time.Second)
+	asker.AskConfirmed(f.now)
+	f.run(time.Second)
+	for _, s := range asker.Confirmed() {
+		require.Equal(t, s.DataCentre != "dc1", s.Confirmed(g), "%+v", s)
+		if s.DataCentre == "dc1" {
+			require.Equal(t, []Laggard{{Instance: dead}}, s.Laggards)
+			require.Equal(t, 39, s.Members)
+			require.Equal(t, g, s.Lowest)
+		}
+	}
+}
+
+func TestAgeOfKnowledgeIsNeverUnderstated(t *testing.T) {
+	f := newFleet(t, 10, 2, 20)
+	f.loss = 0.1
+	f.apply(marked(1))
+	f.run(20 * time.Second)
+	f.blind = func(string) bool { return true }
+	f.run(time.Second) // reads under way come to an end
+	cutOff := f.now
+	for range 30 {
+		f.run(time.Second)
+		for name, d := range f.daemons {
+			require.False(t, d.ConfirmedAt().After(cutOff), name)
+		}
+	}
+}
--- a/config/store.go
+++ b/config/store.go
@@ -68,7 +68,7 @@
 		if version == 0 {
 			return &Stored{c.snapshot, c}, nil
 		}
-		if last = c.take(h, version, true, rows); last == nil {
+		if last = c.take(h, version, rows); last == nil {
 			return &Stored{c.snapshot, c}, nil
 		}
 	}
