--- /dev/null
+++ b/claim/maintain.go
@@ -0,0 +1,157 @@
+package claim
+
+import (
+	"context"
+	"errors"
+
+	"wisteriafold/platform"
+)
+
+// Cleaned says what one call of Maintain did.
+type Cleaned struct {
+	Released int // claims given up earlier that are now released
+	Looked   int // rows that were looked at
+	Removed  int // rows removed by age
+}
+
+// Maintain does a bounded part of the housekeeping: it releases claims that
+// were given up while the store did not answer, advances the epoch when it is
+// due, and removes rows that have passed their retention. An instance calls it
+// every few seconds; only a few instances of a data centre need to clean.
+func (c *Claims) Maintain(ctx context.Context, clean bool) (Cleaned, error) {
+	var out Cleaned
+	err := c.releaseLoose(ctx, &out)
+	if err != nil || !clean {
+		return out, err
+	}
+	if err := c.epoch.advance(ctx); err != nil {
+		return out, err
+	}
+	return out, c.clean(ctx, &out)
+}
+
+// releaseLoose releases the claims that were given up.
+func (c *Claims) releaseLoose(ctx context.Context, out *Cleaned) error {
+	c.mu.Lock()
+	todo := c.unsettled
+	c.unsettled = nil
+	c.mu.Unlock()
+	for i, l := range todo {
+		done, err := c.release(ctx, l)
+		if done {
+			out.Released++
+			continue
+		}
+		for _, l := range todo[i:] {
+			c.remember(l)
+		}
+		return err
+	}
+	return nil
+}
+
+// clean looks at the next batch of rows and removes those that are old enough.
+func (c *Claims) clean(ctx context.Context, out *Cleaned) error {
+	c.mu.Lock()
+	after := c.cursor
+	c.mu.Unlock()
+	rows, err := c.table.Scan(ctx, c.cfg.Table, after, c.cfg.CleanBatch)
+	if err != nil {
+		return err
+	}
+	now, _, err := c.epoch.current(ctx)
+	if err != nil {
+		return err
+	}
+	var old []platform.Row
+	for _, row := range rows {
+		out.Looked++
+		if row.Key == epochKey {
+			continue
+		}
+		r, err := decode(row.Value)
+		if err != nil || r.Epoch+c.cfg.Retain > now {
+			continue
+		}
+		if r.Object != "" {
+			if err := c.objects.Delete(ctx, r.Object); err != nil {
+				return err
+			}
+		}
+		old = append(old, row)
+	}
+	removed, err := c.remove(ctx, old)
+	out.Removed += removed
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cursor = ""
+	if len(rows) == c.cfg.CleanBatch {
+		c.cursor = rows[len(rows)-1].Key
+	}
+	return nil
+}
+
+// remove deletes rows in one transaction, each on condition that it is as it was
+// read. A conflict means that another instance cleans the same rows.
+func (c *Claims) remove(ctx context.Context, rows []platform.Row) (int, error) {
+	if len(rows) == 0 {
+		return 0, nil
+	}
+	var tx platform.Tx
+	for _, row := range rows {
+		tx.Conditions = append(tx.Conditions, platform.Condition{Table: c.cfg.Table, Key: row.Key, Version: row.Version})
+		tx.Writes = append(tx.Writes, platform.Write{Table: c.cfg.Table, Key: row.Key, Delete: true})
+	}
+	_, err := c.table.Commit(ctx, tx)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return len(rows), nil
+}
+
+// Explanation is what the table says about one idempotency key.
+type Explanation struct {
+	Found   bool
+	Version uint64 // of the row
+	Row     Row
+	Epochs  uint64 // that have begun since the claim was taken
+	Meaning string // in words, with what can be done
+}
+
+// Explain reads the state of a key, for operators. It changes nothing.
+func (c *Claims) Explain(ctx context.Context, key Key) (Explanation, error) {
+	rows, err := c.table.Get(ctx, c.cfg.Table, key.row())
+	if err != nil {
+		return Explanation{}, err
+	}
+	if len(rows) == 0 {
+		return Explanation{Meaning: "no request with this key was claimed, or it was removed by age"}, nil
+	}
+	r, err := decode(rows[0].Value)
+	if err != nil {
+		return Explanation{}, err
+	}
+	now, _, err := c.epoch.read(ctx)
+	if err != nil {
+		return Explanation{}, err
+	}
+	e := Explanation{Found: true, Version: rows[0].Version, Row: *r, Epochs: now - min(now, r.Epoch)}
+	switch r.State {
+	case InProgress:
+		e.Meaning = "in progress at " + r.Claimant + ", or in doubt when that instance has died since: ask the service whether it ran"
+	case Answered:
+		e.Meaning = "ran once; retries get the recorded answer"
+	case Unknown:
+		e.Meaning = "may have run, the answer is lost: ask the service whether it ran. " + r.Note
+	case Released:
+		e.Meaning = "was not run; the next retry runs it"
+	}
+	return e, nil
+}
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -56,6 +56,7 @@
 	ReasonClaimHeld     Reason = "claim-held"      // another run of the same idempotency key is in progress
 	ReasonClaimUnknown  Reason = "claim-unknown"   // an earlier run of the same idempotency key has no recorded answer
 	ReasonStoreDown     Reason = "store-down"      // the claim cannot be written
+	ReasonKeyReused     Reason = "key-reused"      // the idempotency key belongs to another request
 	ReasonBadToken      Reason = "bad-call-token"  // the call token is forged or its call has ended
 	ReasonOldGeneration Reason = "old-generation"  // the sender acts on a configuration that is no longer in force
 	ReasonShutdown      Reason = "shutting-down"   // this daemon is stopping
