Claims, link budgets and the configuration commands of the operator tool

Cause: non-idempotent requests with a key, bytes between regions and applying belong to the whole path.

--- a/backend/gate.go
+++ b/backend/gate.go
@@ -143,6 +143,14 @@
 	g.publish()
 }
 
+// Resume lets calls in again after Drain: the backend server stays after all.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Resume()
+	g.publish()
+}
+
 // Idle returns a channel that is closed when the gate drains and its last call
 // has ended.
 func (g *Gate) Idle() <-chan struct{} { return g.idle }
--- /dev/null
+++ b/cmd/wisteriafold/configuration.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"wisteriafold/config"
+	"wisteriafold/instance"
+	"wisteriafold/platform"
+	"wisteriafold/platform/httpapi"
+)
+
+const (
+	storeTimeout = 5 * time.Second
+	waitEvery    = 250 * time.Millisecond
+)
+
+// store names the platform.
+type store struct{ address string }
+
+func (s *store) flags(c *cobra.Command) {
+	c.Flags().StringVar(&s.address, "platform", "127.0.0.1:6000", "address of the platform's table service")
+}
+
+func (s *store) open() *httpapi.Client { return httpapi.NewClient(s.address, storeTimeout) }
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check DIR",
+		Short:   "Check a configuration directory without applying it",
+		Example: "  wisteriafold check examples/kurume/configuration",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := config.LoadDirectory(args[0])
+			if err != nil {
+				return withCode(exitUsage, err)
+			}
+			sum := checked{len(c.Organisations), len(c.Keys), len(c.Services), len(c.Routes), len(c.DataCentres), len(c.Links)}
+			return output(cmd, sum, sum.String())
+		},
+	}
+}
+
+// checked counts the objects of a valid configuration.
+type checked struct {
+	Organisations int `json:"organisations"`
+	Keys          int `json:"keys"`
+	Services      int `json:"services"`
+	Routes        int `json:"routes"`
+	DataCentres   int `json:"data_centres"`
+	Links         int `json:"links"`
+}
+
+// String returns the counts in one line.
+func (c checked) String() string {
+	return fmt.Sprintf("valid: %d organisations, %d keys, %d services, %d routes, %d data centres, %d links",
+		c.Organisations, c.Keys, c.Services, c.Routes, c.DataCentres, c.Links)
+}
+
+func diffCommand() *cobra.Command {
+	var s store
+	c := &cobra.Command{
+		Use:     "diff DIR",
+		Short:   "Show what applying a directory would change",
+		Example: "  wisteriafold diff examples/kurume/configuration --platform 127.0.0.1:6000",
+		Args:    cobra.ExactArgs(1),
+	}
+	s.flags(c)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		next, base, err := s.load(cmd.Context(), args[0])
+		if err != nil {
+			return err
+		}
+		changes := config.Diff(base.Snapshot.Configuration, next)
+		text := changes.String()
+		if len(changes) == 0 {
+			text = fmt.Sprintf("no difference to generation %d", base.Snapshot.Generation)
+		}
+		return output(cmd, changes, text)
+	}
+	return c
+}
+
+// load reads a directory and what is in force.
+func (s *store) load(ctx context.Context, dir string) (*config.Configuration, *config.Stored, error) {
+	next, err := config.LoadDirectory(dir)
+	if err != nil {
+		return nil, nil, withCode(exitUsage, err)
+	}
+	client := s.open()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	base, err := config.Read(ctx, client)
+	return next, base, err
+}
+
+func showCommand() *cobra.Command {
+	var s store
+	c := &cobra.Command{
+		Use:     "show",
+		Short:   "Show the configuration in the store",
+		Example: "  wisteriafold show --platform 127.0.0.1:6000",
+		Args:    cobra.NoArgs,
+	}
+	s.flags(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		client := s.open()
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(cmd.Context(), storeTimeout)
+		defer cancel()
+		got, err := config.Read(ctx, client)
+		if err != nil {
+			return err
+		}
+		y, err := got.Snapshot.Configuration.YAML()
+		if err != nil {
+			return err
+		}
+		text := fmt.Sprintf("# generation %d\n%s", got.Snapshot.Generation, strings.TrimRight(string(y), "\n"))
+		return output(cmd, struct {
+			Generation    uint64                `json:"generation"`
+			Configuration *config.Configuration `json:"configuration"`
+		}{got.Snapshot.Generation, got.Snapshot.Configuration}, text)
+	}
+	return c
+}
+
+// applyFlags are the flags of apply.
+type applyFlags struct {
+	store
+	fleet
+	wait    bool
+	timeout time.Duration
+	outcome string
+}
+
+func applyCommand() *cobra.Command {
+	var f applyFlags
+	c := &cobra.Command{
+		Use:   "apply DIR",
+		Short: "Put a configuration in force, all of it or nothing",
+		Long: `apply checks a directory completely and writes the difference in one
+transaction that is conditional on the generation it was based on. The outcome
+is accepted, rejected or unknown; when it is unknown, the command to ask again
+is printed.`,
+		Example: "  wisteriafold apply examples/kurume/configuration --wait --settings-dir examples/kurume/daemons\n  wisteriafold apply --outcome 0000000000000007-1f2e3d4c5b6a7988",
+		Args:    cobra.MaximumNArgs(1),
+	}
+	f.store.flags(c)
+	f.fleet.flags(c)
+	c.Flags().BoolVar(&f.wait, "wait", false, "wait until all instances have confirmed, and name those that have not")
+	c.Flags().DurationVar(&f.timeout, "timeout", 30*time.Second, "how long --wait waits")
+	c.Flags().StringVar(&f.outcome, "outcome", "", "ask what became of the apply with this id")
+	c.RunE = func(cmd *cobra.Command, args []string) error { return f.run(cmd, args) }
+	return c
+}
+
+func (f *applyFlags) run(cmd *cobra.Command, args []string) error {
+	if (len(args) == 1) == (f.outcome != "") {
+		return withCode(exitUsage, eris.New("give either a directory or --outcome ID"))
+	}
+	client := f.open()
+	defer client.Close()
+	res, err := f.apply(cmd.Context(), client, args)
+	if res.Outcome != "" {
+		text := fmt.Sprintf("%s: generation %d, apply %s, %d objects written", res.Outcome, res.Generation, res.ID, res.Changes)
+		if perr := output(cmd, res, text); perr != nil {
+			return perr
+		}
+	}
+	if err != nil {
+		return withCode(applyCode(err), err)
+	}
+	if f.wait {
+		return f.await(cmd, res.Generation)
+	}
+	return nil
+}
+
+func (f *applyFlags) apply(ctx context.Context, table platform.Table, args []string) (config.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if f.outcome != "" {
+		return config.Resolve(ctx, table, f.outcome)
+	}
+	next, err := config.LoadDirectory(args[0])
+	if err != nil {
+		return config.Result{}, err
+	}
+	base, err := config.Read(ctx, table)
+	if err != nil {
+		return config.Result{}, err
+	}
+	id, err := config.NewApplyID(base, rand.Reader)
+	if err != nil {
+		return config.Result{}, err
+	}
+	return config.Apply(ctx, table, base, next, id)
+}
+
+func applyCode(err error) int {
+	var race *config.RaceError
+	var fenced *config.FencedError
+	var unknown *config.UnknownError
+	var problems config.Problems
+	switch {
+	case errors.As(err, &race), errors.As(err, &fenced):
+		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &problems):
+		return exitUsage
+	}
+	return exitBroken
+}
+
+// await asks the daemons until all instances have the generation.
+func (f *applyFlags) await(cmd *cobra.Command, generation uint64) error {
+	addresses, err := f.addresses()
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(f.timeout)
+	var last []config.DataCentreStatus
+	for i := 0; time.Now().Before(deadline); i++ {
+		var now []config.DataCentreStatus
+		if err := ask(addresses[i%len(addresses)], instance.PathConfirmed, &now); err == nil {
+			last = now
+		}
+		if everywhere(last, generation) {
+			return output(cmd, last, fmt.Sprintf("generation %d is in force at all instances", generation))
+		}
+		time.Sleep(waitEvery)
+	}
+	return withCode(exitPartial, eris.Errorf("generation %d is accepted and not confirmed by all within %s: %s", generation, f.timeout, laggards(last, generation)))
+}
+
+func everywhere(all []config.DataCentreStatus, generation uint64) bool {
+	for i := range all {
+		if !all[i].Confirmed(generation) {
+			return false
+		}
+	}
+	return len(all) > 0
+}
+
+func laggards(all []config.DataCentreStatus, generation uint64) string {
+	if len(all) == 0 {
+		return "no daemon answered, see --operator"
+	}
+	var out []string
+	for i := range all {
+		s := &all[i]
+		if s.Confirmed(generation) {
+			continue
+		}
+		line := fmt.Sprintf("data centre %s: %d of %d report", s.DataCentre, s.Members, s.Roster)
+		for _, l := range s.Laggards {
+			line += fmt.Sprintf(", %s has %d", l.Instance, l.Generation)
+		}
+		out = append(out, line)
+	}
+	return strings.Join(out, "; ")
+}
--- a/instance/body.go
+++ b/instance/body.go
@@ -110,7 +110,7 @@
 
 // frameSink is where chunk frames go to.
 type frameSink interface {
-	Write(f *wire.Frame) error
+	Write(frames ...*wire.Frame) error
 }
 
 // copyChunks sends src as chunk frames and an End frame. On a read error it
--- /dev/null
+++ b/instance/claims.go
@@ -0,0 +1,192 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriafold/claim"
+	"wisteriafold/config"
+	"wisteriafold/datacentre"
+	"wisteriafold/request"
+	"wisteriafold/wire"
+)
+
+// HeaderReplayed marks an answer that was recorded by an earlier run.
+const HeaderReplayed = "Wisteriafold-Replayed"
+
+const (
+	claimWrite     = 3 * time.Second // for the write that ends a claim
+	claimMaintain  = 5 * time.Second
+	claimCleaners  = 2       // instances of a data centre that remove old claims
+	claimedAnswer  = 1 << 20 // bytes of the largest answer that is recorded
+	claimsRoleName = "claims"
+)
+
+// claimDesk runs requests that carry an idempotency key at most once.
+type claimDesk struct {
+	d      *Daemon
+	claims *claim.Claims
+}
+
+func newClaimDesk(d *Daemon) *claimDesk {
+	rng := rand.New(rand.NewPCG(d.random(), d.random()))
+	cfg := claim.Config{MaxAnswer: claimedAnswer}
+	return &claimDesk{d: d, claims: claim.New(cfg, d.table, d.objects, d.self.Peer, rng)}
+}
+
+// runClaimed runs a request, under a claim when it needs one.
+func (e *entry) runClaimed(ctx context.Context) (*answer, *request.Error) {
+	value := e.http.Request.Header.Peek(HeaderIdempotencyKey)
+	if len(value) == 0 || e.match.Idempotent {
+		return e.run(ctx)
+	}
+	held, recorded, err := e.d.claims.claims.Take(ctx, e.claimKey(value))
+	if err != nil {
+		r := request.AsError(err)
+		if r.Reason == request.ReasonStoreDown && e.match.StoreDown == config.StoreDownRun {
+			e.d.decide(e.call, "claim", "", "store-down: run without a claim", "", "")
+			return e.run(ctx)
+		}
+		return nil, r
+	}
+	if recorded != nil {
+		return replay(recorded), nil
+	}
+	e.call.Claimed = true
+	return e.runHeld(ctx, held)
+}
+
+func (e *entry) claimKey(value []byte) claim.Key {
+	sum := xxhash.Sum64(e.out.body.inline)
+	digest := []byte{
+		byte(sum), byte(sum >> 8), byte(sum >> 16), byte(sum >> 24),
+		byte(sum >> 32), byte(sum >> 40), byte(sum >> 48), byte(sum >> 56),
+	}
+	return claim.Key{
+		Organisation: e.call.Organisation,
+		Route:        e.match.Route,
+		Value:        string(value),
+		Digest:       claim.Digest(e.out.head.Method, e.out.head.Path, digest),
+	}
+}
+
+// runHeld runs a request whose claim is held and ends the claim by what became
+// of it.
+func (e *entry) runHeld(ctx context.Context, held *claim.Held) (*answer, *request.Error) {
+	if err := held.MayDispatch(); err != nil {
+		e.endClaim("release", held.Release)
+		return nil, request.AsError(err)
+	}
+	ans, fail := e.run(ctx)
+	switch {
+	case fail != nil && fail.Outcome == request.NotRun:
+		e.endClaim("release", held.Release)
+	case fail != nil:
+		e.endClaim("lost", held.Lost)
+	default:
+		e.record(held, ans)
+	}
+	return ans, fail
+}
+
+// endClaim writes the end of a claim, also when the caller has gone away.
+func (e *entry) endClaim(how string, end func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.d.background), claimWrite)
+	defer cancel()
+	if err := end(ctx); err != nil {
+		e.d.log.Warn("claim not ended", "request_id", e.call.ID, "how", how, "err", err)
+	}
+}
+
+// record keeps the answer before the caller gets it, so that whoever has seen
+// an answer can get it again.
+func (e *entry) record(held *claim.Held, ans *answer) {
+	if !e.gather(ans) {
+		e.endClaim("answer too large to keep", held.Lost)
+		return
+	}
+	kept := &claim.Answer{Status: int(ans.head.Status), Body: ans.head.Body}
+	for _, h := range ans.head.Headers {
+		kept.Headers = append(kept.Headers, claim.Header{Name: h.Name, Value: h.Value})
+	}
+	e.endClaim("record", func(ctx context.Context) error { return held.Record(ctx, kept) })
+}
+
+// gather reads a streaming answer into its head. It reports false, with the
+// answer still whole, when it is too large or breaks off.
+func (e *entry) gather(ans *answer) bool {
+	if !ans.head.BodyFollows {
+		return true
+	}
+	b, err := io.ReadAll(io.LimitReader(ans.body, claimedAnswer+1))
+	if err != nil || len(b) > claimedAnswer {
+		ans.body = io.MultiReader(bytes.NewReader(b), &failingReader{rest: ans.body, err: err})
+		return false
+	}
+	ans.head.Body = b
+	ans.head.BodyFollows = false
+	return true
+}
+
+// failingReader fails with err, or goes on with rest.
+type failingReader struct {
+	rest io.Reader
+	err  error
+}
+
+// Read implements io.Reader.
+func (r *failingReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	return r.rest.Read(p)
+}
+
+// replay returns a recorded answer.
+func replay(a *claim.Answer) *answer {
+	head := &wire.AnswerHead{
+		Outcome: wire.Outcome_OUTCOME_ANSWERED,
+		Status:  uint32(a.Status),
+		Body:    a.Body,
+	}
+	for _, h := range a.Headers {
+		head.Headers = append(head.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	}
+	head.Headers = append(head.Headers, &wire.Header{Name: HeaderReplayed, Value: "true"})
+	return newAnswer(head, nil, func(bool) {})
+}
+
+// maintainClaims releases claims that were given up and removes old ones.
+func (d *Daemon) maintainClaims(ctx context.Context) {
+	t := time.NewTicker(claimMaintain)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		work, cancel := context.WithTimeout(ctx, claimMaintain)
+		done, err := d.claims.claims.Maintain(work, d.cleansClaims())
+		cancel()
+		if err != nil {
+			d.log.Debug("claims not maintained", "err", err)
+		}
+		if done.Released+done.Removed > 0 {
+			d.log.Info("claims maintained", "released", done.Released, "removed", done.Removed)
+		}
+	}
+}
+
+// cleansClaims reports whether this instance is one of the few that remove old
+// claims.
+func (d *Daemon) cleansClaims() bool {
+	r, ok := d.control.members.Snapshot().Roster()
+	return ok && slices.Contains(datacentre.Place(r.Addresses, claimsRoleName, claimCleaners), d.self.Peer)
+}
--- a/instance/control.go
+++ b/instance/control.go
@@ -205,14 +205,7 @@
 		})
 	}
 	for i := range conf.Links {
-		l := &conf.Links[i]
-		out = append(out, contract.Contract{
-			Name:    linkContract(l),
-			Version: conf.LinkVersion(l),
-			Rate:    float64(l.BytesPerSecond) / 2, // both sides draw on the same contract
-			Burst:   float64(l.BytesPerSecond) / 2,
-			Shares:  sharesOf(conf, func(dc string) float64 { return linkShare(conf, l, dc) }),
-		})
+		out = append(out, linkContracts(conf, &conf.Links[i])...)
 	}
 	return out
 }
@@ -227,16 +220,6 @@
 	return out
 }
 
-// linkShare gives each data centre at an end of the link the same part.
-func linkShare(conf *config.Configuration, l *config.Link, dataCentre string) float64 {
-	for _, dc := range conf.DataCentres {
-		if dc.Name == dataCentre && (dc.Region == l.Regions[0] || dc.Region == l.Regions[1]) {
-			return 1
-		}
-	}
-	return 0
-}
-
 // fetch reads the configuration from the store on a worker goroutine.
 func (c *control) fetch(since uint64) {
 	d := c.d
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -188,6 +188,7 @@
 	d.goes(func() { d.watch.run(d.background) })
 	d.goes(func() { d.control.run(d.background) })
 	d.goes(func() { d.checkHealth(d.background) })
+	d.goes(func() { d.maintainClaims(d.background) })
 	d.goes(func() { d.reportError(d.links.Serve(d.listeners.Peers)) })
 	d.serve(0, d.listeners.Callers, d.serveCaller)
 	d.serve(1, d.listeners.Egress, d.serveEgress)
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -8,7 +8,10 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"wisteriafold/backend"
+	"wisteriafold/claim"
+	"wisteriafold/config"
 	"wisteriafold/contract"
+	"wisteriafold/datacentre"
 	"wisteriafold/link"
 	"wisteriafold/request"
 	"wisteriafold/service"
@@ -20,32 +23,36 @@
 	PathExplain = "/explain"    // ?id=: the kept decisions about one request
 	PathVars    = "/debug/vars" // expvar of the process
 	PathCounts  = "/counts"     // the daemon's own counters
+
+	// PathConfirmed asks all data centres which generation they have confirmed
+	// and returns []config.DataCentreStatus as JSON.
+	PathConfirmed = "/confirmed"
 )
 
 // Status is what one daemon knows about itself and its surroundings.
 type Status struct {
-	Instance   string           `json:"instance"`
-	Peer       string           `json:"peer"`
-	DataCentre string           `json:"data_centre"`
-	Region     string           `json:"region"`
-	Uptime     time.Duration    `json:"uptime_ns"`
-	Stopping   bool             `json:"stopping"`
-	Config     ConfigStatus     `json:"configuration"`
-	Gate       backend.Report   `json:"gate"`
-	Backend    BackendStatus    `json:"backend"`
-	Routes     []RouteStatus    `json:"routes,omitempty"`
-	Services   []ServiceStatus  `json:"services,omitempty"`
-	Contracts  *contract.Status `json:"contracts,omitempty"`
-	Members    any              `json:"members,omitempty"`
-	Links      link.Stats       `json:"links"`
-	Decisions  DecisionStatus   `json:"decisions"`
+	Instance   string            `json:"instance"`
+	Peer       string            `json:"peer"`
+	DataCentre string            `json:"data_centre"`
+	Region     string            `json:"region"`
+	Uptime     time.Duration     `json:"uptime_ns"`
+	Stopping   bool              `json:"stopping"`
+	Config     ConfigStatus      `json:"configuration"`
+	Gate       backend.Report    `json:"gate"`
+	Backend    BackendStatus     `json:"backend"`
+	Routes     []RouteStatus     `json:"routes,omitempty"`
+	Services   []ServiceStatus   `json:"services,omitempty"`
+	Contracts  contract.Status   `json:"contracts"`
+	Members    datacentre.Status `json:"members"`
+	Claims     claim.Stats       `json:"claims"`
+	Links      link.Stats        `json:"links"`
+	Decisions  DecisionStatus    `json:"decisions"`
 }
 
 // ConfigStatus says which configuration is in force here and how fresh it is.
 type ConfigStatus struct {
-	Generation uint64        `json:"generation"`
-	Age        time.Duration `json:"age_ns"` // since nothing newer was confirmed
-	Keys       int           `json:"keys"`
+	config.Status
+	Keys int `json:"keys"`
 }
 
 // BackendStatus is about the backend server beside the daemon.
@@ -86,6 +93,8 @@
 			return
 		}
 		writeJSON(hc, st)
+	case PathConfirmed:
+		writeJSON(hc, d.Confirmed(confirmWait))
 	case PathExplain:
 		writeJSON(hc, d.Explain(string(hc.QueryArgs().Peek("id"))))
 	case PathVars:
