link: one lock order; contract: asks keep a distance

Cause: in the first runs of 16 daemons control goroutines stood still. Two faults were found in a goroutine dump. A peer's lock was held while the links' read lock was taken, and the links' lock while a peer's was: with a writer waiting, all stood. And a borrower whose loan grew by less and less with each grant asked again at once, without end, at one instant where lender and borrower are one daemon. Ruled out: a full mailbox, the pool, the store. Change: closing has a lock of its own, last in the order; an ask for more follows an answer by 10 ms at least. Before: TestSendingToNewPeersDoesNotDeadlock hangs, try never gets ready. Conclusion: lock order is written at the fields.

--- a/contract/borrowing.go
+++ b/contract/borrowing.go
@@ -148,6 +148,11 @@
 	})
 }
 
+// askSpacing is the least time between the answer to an ask and the next ask
+// to the same lender for more. Without it, loans that grow by less and less
+// with each grant make the two ask and grant without end at one instant.
+const askSpacing = 10 * time.Millisecond
+
 // pump sends the asks that are due.
 func (b *borrowing) pump(now time.Time, lenders []string) {
 	for _, lender := range lenders {
@@ -269,7 +274,7 @@
 	if grown >= s.hopes {
 		s.backoff = 0
 	}
-	s.next = now.Add(s.backoff)
+	s.next = now.Add(max(s.backoff, askSpacing))
 	b.clean(s)
 }
 
--- /dev/null
+++ b/instance/ready.go
@@ -0,0 +1,62 @@
+package instance
+
+import (
+	"fmt"
+	"time"
+)
+
+// readyAsked is the event that somebody wants to know whether the daemon is
+// ready for traffic.
+type readyAsked struct {
+	members int
+	reply   chan string
+}
+
+func (e readyAsked) apply(c *control, now time.Time) { e.reply <- c.lacks(now, e.members) }
+
+// Ready returns what the daemon still lacks to serve every route for every
+// organisation, or "" when it lacks nothing. members is the number of instances
+// that the rosters of all data centres should list.
+func (d *Daemon) Ready(members int) string {
+	asked := readyAsked{members, make(chan string, 1)}
+	d.post(asked)
+	select {
+	case lack := <-asked.reply:
+		return lack
+	case <-time.After(statusTimeout):
+		return "an answer of its control goroutine"
+	}
+}
+
+func (c *control) lacks(now time.Time, members int) string {
+	s := c.spread.Snapshot()
+	if s.Generation == 0 {
+		return "a configuration"
+	}
+	known := 0
+	for _, r := range c.members.Snapshot().Rosters() {
+		known += len(r.Addresses)
+	}
+	if known < members {
+		return fmt.Sprintf("members: %d of %d are on the rosters", known, members)
+	}
+	for _, svc := range s.Configuration.Services {
+		if len(c.members.Snapshot().Endpoints(svc.Name)) == 0 {
+			return "endpoints of " + svc.Name
+		}
+	}
+	lack := ""
+	for _, o := range s.Configuration.Organisations { // each take tells of demand
+		v := c.d.limiter.Take(now, o.Name)
+		if !v.OK {
+			lack = "tokens for " + o.Name
+			continue
+		}
+		c.d.limiter.GiveBack(v)
+	}
+	return lack
+}
+
+// Weight returns the weight of an organisation in the configuration in force
+// here.
+func (d *Daemon) Weight(organisation string) float64 { return d.view.Load().weight(organisation) }
--- a/link/links.go
+++ b/link/links.go
@@ -43,10 +43,13 @@
 	cancel context.CancelCauseFunc
 	wg     sync.WaitGroup
 
+	// Locks are taken in this order: mu, then a peer's, then life.
 	mu        sync.RWMutex
-	closing   bool
 	peers     map[string]*peer
 	listeners []net.Listener
+
+	life    sync.RWMutex // guards closing, and wg.Add against it
+	closing bool
 }
 
 // New returns links without any session.
@@ -82,7 +85,7 @@
 // the listener's error otherwise.
 func (l *Links) Serve(ln net.Listener) error {
 	l.mu.Lock()
-	if l.closing {
+	if l.isClosing() {
 		l.mu.Unlock()
 		return ln.Close()
 	}
@@ -146,8 +149,8 @@
 
 // begin counts one more goroutine, unless Close has begun.
 func (l *Links) begin() bool {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
+	l.life.RLock()
+	defer l.life.RUnlock()
 	if l.closing {
 		return false
 	}
@@ -156,17 +159,17 @@
 }
 
 func (l *Links) isClosing() bool {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
+	l.life.RLock()
+	defer l.life.RUnlock()
 	return l.closing
 }
 
 // peer returns the peer at that address.
 func (l *Links) peer(address string) (*peer, error) {
 	l.mu.RLock()
-	p, closing := l.peers[address], l.closing
+	p := l.peers[address]
 	l.mu.RUnlock()
-	if closing {
+	if l.isClosing() {
 		return nil, ErrClosed
 	}
 	if p != nil {
@@ -174,7 +177,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closing {
+	if l.isClosing() {
 		return nil, ErrClosed
 	}
 	if p = l.peers[address]; p == nil {
@@ -270,8 +273,10 @@
 // returned. No goroutine is left when it returns.
 func (l *Links) Close(ctx context.Context) error {
 	l.Refuse()
-	l.mu.Lock()
+	l.life.Lock()
 	l.closing = true
+	l.life.Unlock()
+	l.mu.Lock()
 	for _, ln := range l.listeners {
 		_ = ln.Close()
 	}
--- /dev/null
+++ b/link/lock_test.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wisteriafold/wire"
+)
+
+// TestSendingToNewPeersDoesNotDeadlock takes the locks of the links and of
+// their peers in all orders that there are: sending, adding peers, statistics
+// and dropping unused peers.
+func TestSendingToNewPeersDoesNotDeadlock(t *testing.T) {
+	cfg := Defaults()
+	cfg.Hello = &wire.Hello{Instance: "127.0.0.1:1"}
+	cfg.Dial = func(context.Context, string) (net.Conn, error) { return nil, errors.New("nobody there") }
+	l, err := New(cfg, &discard{})
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := range 300 {
+				l.Send(fmt.Sprintf("127.0.%d.%d:1", i, n%200), &wire.Control{})
+				if i < 2 {
+					l.Stats()
+					l.dropUnusedPeers()
+				}
+			}
+		}()
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("the goroutines wait for each other")
+	}
+	require.NoError(t, l.Close(t.Context()))
+}
+
+// discard is a handler that nobody reaches.
+type discard struct{}
+
+func (*discard) ServeCall(context.Context, *Stream, *wire.Frame) {}
+
+func (*discard) ReceiveControl(string, *wire.Control) {}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -22,6 +22,7 @@
 	HeaderNonce = "Standin-Nonce" // echoed in the answer, ties an answer to its request
 	HeaderOrder = "Standin-Order" // identity of a non-idempotent order, counted by the ledger
 	HeaderChain = "Standin-Chain" // services still to call, separated by commas
+	HeaderIdle  = "Standin-Idle"  // answer without working
 )
 
 // BackendConfig configures a backend server stand-in.
@@ -55,6 +56,7 @@
 
 	slow     atomic.Int64 // factor on the service time, in percent
 	draining atomic.Bool
+	served   atomic.Int64
 	report   atomic.Int64 // lagging count of busy slots
 	stop     chan struct{}
 	wg       sync.WaitGroup
@@ -104,6 +106,9 @@
 // Drain makes the health endpoint say that the server is leaving.
 func (b *Backend) Drain() { b.draining.Store(true) }
 
+// Served returns the number of calls that were started.
+func (b *Backend) Served() int64 { return b.served.Load() }
+
 // Close stops the server after the calls in progress.
 func (b *Backend) Close() error {
 	close(b.stop)
@@ -170,10 +175,14 @@
 
 func (b *Backend) serve(ctx *fasthttp.RequestCtx) {
 	work := b.workTime()
+	if len(ctx.Request.Header.Peek(HeaderIdle)) > 0 {
+		work = 0
+	}
 	if left := deadlineOf(ctx); left > 0 && work > left {
 		shed(ctx, "the deadline leaves too little time")
 		return
 	}
+	b.served.Add(1)
 	b.ledger.Run(b.cfg.Service, string(ctx.Request.Header.Peek(HeaderOrder)))
 	if !b.work(ctx, work) {
 		ctx.Error("cancelled", fasthttp.StatusServiceUnavailable)
--- /dev/null
+++ b/try/deployment.go
@@ -0,0 +1,266 @@
+package try
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/config"
+	"wisteriafold/examples"
+	"wisteriafold/instance"
+	"wisteriafold/organisation"
+	"wisteriafold/platform/httpapi"
+	"wisteriafold/platform/memory"
+	"wisteriafold/standin"
+)
+
+const (
+	serviceTime    = 3 * time.Millisecond
+	platformWait   = 2 * time.Second
+	readyWithin    = 20 * time.Second
+	readyLook      = 50 * time.Millisecond
+	operationLimit = 5 * time.Second
+)
+
+// deployment is everything that runs.
+type deployment struct {
+	store    *memory.Store
+	platform *fasthttp.Server
+	client   *httpapi.Client
+	conf     *config.Configuration
+	keys     map[string]string // organisation -> key made for this run
+	sites    []*site
+	ledger   *standin.Ledger
+	excess   *excess
+}
+
+// site is one instance: a daemon and the backend server beside it.
+type site struct {
+	set     instance.Settings
+	daemon  *instance.Daemon
+	backend *standin.Backend
+	caller  string // address of the callers listener
+	direct  string // address of the backend server
+	stopped bool
+}
+
+// start builds a deployment from an example. Every daemon writes its log to log.
+func start(name string, log io.Writer) (*deployment, error) {
+	conf, err := examples.Configuration(name)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := examples.Settings(name)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{conf: conf, keys: make(map[string]string), ledger: standin.NewLedger(), excess: newExcess(conf)}
+	if err := d.addKeys(); err != nil {
+		return nil, err
+	}
+	address, err := d.startPlatform()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.apply(conf); err != nil {
+		return nil, err
+	}
+	return d, d.startSites(settings, address, log)
+}
+
+// addKeys gives each organisation a key that this run knows.
+func (d *deployment) addKeys() error {
+	for i := range d.conf.Organisations {
+		name := d.conf.Organisations[i].Name
+		key, id, err := organisation.NewKey(rand.Reader)
+		if err != nil {
+			return err
+		}
+		d.keys[name] = key
+		d.conf.Keys = append(d.conf.Keys, config.Key{Digest: id.String(), Organisation: name, Note: "made by try"})
+	}
+	return nil
+}
+
+func (d *deployment) startPlatform() (string, error) {
+	ln, err := loopback()
+	if err != nil {
+		return "", err
+	}
+	d.store = memory.New()
+	d.platform = httpapi.NewServer(httpapi.NewHandler(d.store, d.store.Objects(), d.store))
+	go func() { _ = d.platform.Serve(ln) }() // ends with Shutdown
+	d.client = httpapi.NewClient(ln.Addr().String(), platformWait)
+	return ln.Addr().String(), nil
+}
+
+func loopback() (net.Listener, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return ln, eris.Wrap(err, "no free loopback address: close some programs")
+}
+
+// apply puts a configuration in force in the store.
+func (d *deployment) apply(c *config.Configuration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), operationLimit)
+	defer cancel()
+	base, err := config.Read(ctx, d.client)
+	if err != nil {
+		return err
+	}
+	id, err := config.NewApplyID(base, rand.Reader)
+	if err != nil {
+		return err
+	}
+	_, err = config.Apply(ctx, d.client, base, c, id)
+	return err
+}
+
+// startSites gives every daemon loopback listeners before any of them starts,
+// so that seeds are known.
+func (d *deployment) startSites(settings []instance.Settings, platform string, log io.Writer) error {
+	listeners := make([]*instance.Listeners, len(settings))
+	for i := range settings {
+		ls, err := openListeners(&settings[i])
+		if err != nil {
+			return err
+		}
+		listeners[i] = ls
+		settings[i].Platform.Address = platform
+		settings[i].Backend.HealthEvery = 200 * time.Millisecond
+	}
+	for i := range settings {
+		settings[i].Seeds, settings[i].FarSeeds = seedsOf(settings, &settings[i])
+	}
+	for i := range settings {
+		s, err := d.startSite(settings[i], listeners[i], uint64(i)+1, log)
+		if err != nil {
+			return err
+		}
+		d.sites = append(d.sites, s)
+	}
+	return nil
+}
+
+func openListeners(set *instance.Settings) (*instance.Listeners, error) {
+	ls := &instance.Listeners{}
+	for _, x := range []struct {
+		into *net.Listener
+		addr *string
+	}{
+		{&ls.Callers, &set.Listen.Callers},
+		{&ls.Egress, &set.Listen.Egress},
+		{&ls.Peers, &set.Listen.Peers},
+		{&ls.Operator, &set.Listen.Operator},
+	} {
+		ln, err := loopback()
+		if err != nil {
+			return nil, err
+		}
+		*x.into = ln
+		*x.addr = ln.Addr().String()
+	}
+	return ls, nil
+}
+
+// seedsOf returns the peers of the own data centre, and one of each other.
+func seedsOf(all []instance.Settings, self *instance.Settings) (near, far []string) {
+	seen := make(map[string]bool)
+	for i := range all {
+		s := &all[i]
+		if s.DataCentre == self.DataCentre {
+			near = append(near, s.Listen.Peers)
+		} else if !seen[s.DataCentre] {
+			seen[s.DataCentre] = true
+			far = append(far, s.Listen.Peers)
+		}
+	}
+	return near, far
+}
+
+func (d *deployment) startSite(set instance.Settings, ls *instance.Listeners, seed uint64, log io.Writer) (*site, error) {
+	ln, err := loopback()
+	if err != nil {
+		return nil, err
+	}
+	b := standin.NewBackend(standin.BackendConfig{
+		Service:     set.Backend.Service,
+		Slots:       set.Backend.Slots,
+		Connections: set.Backend.Connections,
+		ServiceTime: serviceTime,
+		ReportLag:   time.Second,
+		Egress:      set.Listen.Egress,
+		Seed:        seed,
+	}, d.ledger)
+	go func() { _ = b.Serve(ln) }() // ends with Close
+	set.Backend.Address = ln.Addr().String()
+	client := httpapi.NewClient(set.Platform.Address, set.Platform.Timeout)
+	daemon, err := instance.New(set, instance.Options{
+		Log:       log,
+		Table:     client,
+		Objects:   client.Objects(),
+		Listeners: ls,
+		Hooks:     instance.Hooks{Admitted: d.excess.admitted, GivenBack: d.excess.givenBack},
+	})
+	if err != nil {
+		return nil, err
+	}
+	s := &site{set: set, daemon: daemon, backend: b, caller: set.Listen.Callers, direct: ln.Addr().String()}
+	return s, daemon.Start()
+}
+
+// ready waits until every daemon has the configuration, knows all endpoints and
+// may use all contracts.
+func (d *deployment) ready() error {
+	deadline := time.Now().Add(readyWithin)
+	for {
+		missing := d.missing()
+		if missing == "" {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return eris.Errorf("the deployment was not ready within %s: %s", readyWithin, missing)
+		}
+		time.Sleep(readyLook)
+	}
+}
+
+// missing says what the first daemon that is not ready lacks.
+func (d *deployment) missing() string {
+	for _, s := range d.sites {
+		if lack := s.daemon.Ready(len(d.sites)); lack != "" {
+			return s.set.Instance + ": " + lack
+		}
+	}
+	return ""
+}
+
+// stop ends everything that still runs.
+func (d *deployment) stop() error {
+	var first error
+	for _, s := range d.sites {
+		if s.stopped {
+			continue
+		}
+		if err := s.shutdown(); err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, s := range d.sites {
+		_ = s.backend.Close()
+	}
+	d.client.Close()
+	_ = d.platform.Shutdown()
+	return first
+}
+
+func (s *site) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), operationLimit)
+	defer cancel()
+	s.stopped = true
+	return s.daemon.Shutdown(ctx)
+}
--- /dev/null
+++ b/try/script.go
@@ -0,0 +1,238 @@
+package try
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/config"
+	"wisteriafold/instance"
+	"wisteriafold/platform/memory"
+)
+
+// Options says what to run.
+type Options struct {
+	Deployment string        // kurume or linie
+	Duration   time.Duration // of the traffic, at least MinDuration
+	Seed       uint64        // of gaps and service times
+	Progress   io.Writer     // one line for each step
+	Log        io.Writer     // decision logs of all daemons, JSON lines
+}
+
+const (
+	// MinDuration is the shortest traffic in which every step has its time.
+	MinDuration = 4 * time.Second
+
+	noticeWithin = 2 * time.Second // bound on a withdrawn key or a drained endpoint
+	probeEvery   = 50 * time.Millisecond
+	probeTimeout = 3 * time.Second
+)
+
+// script is one run.
+type script struct {
+	opt     Options
+	d       *deployment
+	t       *traffic
+	sum     Summary
+	started time.Time
+}
+
+// Run builds the deployment, drives the script and returns its summary. An
+// error means that the run could not be made; broken invariants are in the
+// summary.
+func Run(opt Options) (*Summary, error) {
+	opt.Duration = max(opt.Duration, MinDuration)
+	s := &script{opt: opt, started: time.Now()}
+	d, err := start(opt.Deployment, opt.Log)
+	if err != nil {
+		return nil, err
+	}
+	s.d = d
+	s.say("%d daemons and %d backend servers started", len(d.sites), len(d.sites))
+	if err := d.ready(); err != nil {
+		_ = d.stop()
+		return nil, err
+	}
+	s.say("ready: configuration in force, endpoints known, contracts in use")
+	if err := s.measureAdded(); err != nil {
+		_ = d.stop()
+		return nil, err
+	}
+	if err := s.drive(); err != nil {
+		_ = d.stop()
+		return nil, err
+	}
+	return s.finish()
+}
+
+func (s *script) say(format string, args ...any) {
+	fmt.Fprintf(s.opt.Progress, "%7.2fs  %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// drive sends traffic and causes one failure after the other.
+func (s *script) drive() error {
+	entries := make([]string, 0, len(s.d.sites))
+	for _, x := range s.d.sites[1:] { // the first one is shut down under traffic
+		entries = append(entries, x.caller)
+	}
+	s.t = startTraffic(entries, kinds(s.d.conf, s.d.keys), s.opt.Seed)
+	s.say("traffic through %d-deep chains", chainDepth)
+	part := s.opt.Duration / 8
+	steps := []func() error{s.withdrawKey, s.drainEndpoint, s.storeOutage, s.changeConfiguration, s.stopDaemon}
+	for _, step := range steps {
+		time.Sleep(part)
+		if err := step(); err != nil {
+			s.t.stop()
+			return err
+		}
+	}
+	time.Sleep(part)
+	s.t.stop()
+	s.say("traffic ended")
+	return nil
+}
+
+// withdrawKey withdraws a key and looks how long any daemon still takes it.
+func (s *script) withdrawKey() error {
+	victim := s.d.conf.Organisations[1].Name
+	key := s.d.keys[victim]
+	next := *s.d.conf
+	next.Keys = slices.DeleteFunc(slices.Clone(next.Keys), func(k config.Key) bool {
+		return k.Organisation == victim && k.Note != ""
+	})
+	if err := s.d.apply(&next); err != nil {
+		return err
+	}
+	s.d.conf = &next
+	applied := time.Now()
+	took := s.until(applied, func() bool { return s.refusedEverywhere(key) })
+	s.sum.KeyWithdrawn = took.Seconds()
+	s.say("key of %s withdrawn: refused everywhere after %s", victim, took.Round(time.Millisecond))
+	return nil
+}
+
+// until polls done and returns the time since start at which it held, or a
+// time beyond noticeWithin when it did not.
+func (s *script) until(start time.Time, done func() bool) time.Duration {
+	for time.Since(start) < noticeWithin {
+		if done() {
+			return time.Since(start)
+		}
+		time.Sleep(probeEvery)
+	}
+	return time.Since(start) + noticeWithin
+}
+
+func (s *script) refusedEverywhere(key string) bool {
+	read, _, _, _ := pickRoutes(s.d.conf)
+	for _, x := range s.d.sites {
+		if x.stopped {
+			continue
+		}
+		status, err := get(x.caller, read.Prefix+"/probe", key)
+		if err != nil || status != fasthttp.StatusUnauthorized {
+			return false
+		}
+	}
+	return true
+}
+
+func get(address, path, key string) (int, error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	if key != "" {
+		req.Header.Set(instance.HeaderKey, key)
+	}
+	req.SetConnectionClose()
+	err := fasthttp.DoTimeout(req, resp, probeTimeout)
+	return resp.StatusCode(), err
+}
+
+// drainEndpoint lets one backend server say that it leaves and checks that it
+// gets no new work after noticeWithin.
+func (s *script) drainEndpoint() error {
+	x := s.d.sites[len(s.d.sites)-1]
+	x.backend.Drain()
+	began := time.Now()
+	took := s.until(began, func() bool {
+		st, err := x.daemon.Status(time.Second)
+		return err == nil && st.Gate.Draining && st.Gate.InFlight == 0
+	})
+	time.Sleep(max(0, noticeWithin/4-time.Since(began)))
+	before := x.backend.Served()
+	time.Sleep(s.opt.Duration / 16)
+	s.sum.WorkAfterDrain = x.backend.Served() - before
+	s.sum.Drained = took.Seconds()
+	s.say("backend server of %s drained in %s, %d calls reached it afterwards", x.set.Instance, took.Round(time.Millisecond), s.sum.WorkAfterDrain)
+	return nil
+}
+
+// storeOutage makes the platform refuse everything for a while.
+func (s *script) storeOutage() error {
+	s.d.store.SetFaults(memory.Faults{Down: true})
+	s.say("platform down")
+	time.Sleep(s.opt.Duration / 5)
+	s.d.store.SetFaults(memory.Faults{})
+	s.say("platform up again")
+	return nil
+}
+
+// changeConfiguration applies a change and waits until it is in force at all
+// daemons.
+func (s *script) changeConfiguration() error {
+	next := *s.d.conf
+	next.Organisations = slices.Clone(next.Organisations)
+	next.Organisations[0].Weight++
+	if err := s.d.apply(&next); err != nil {
+		return err
+	}
+	s.d.conf = &next
+	applied := time.Now()
+	took := s.until(applied, func() bool {
+		for _, x := range s.d.sites {
+			if !x.stopped && x.daemon.Weight(next.Organisations[0].Name) != next.Organisations[0].Weight {
+				return false
+			}
+		}
+		return true
+	})
+	s.sum.InForce = took.Seconds()
+	s.say("changed configuration in force everywhere after %s", took.Round(time.Millisecond))
+	return nil
+}
+
+// stopDaemon shuts one daemon down gracefully under traffic.
+func (s *script) stopDaemon() error {
+	x := s.d.sites[0]
+	began := time.Now()
+	err := x.shutdown()
+	if err != nil {
+		s.sum.CutAtShutdown++
+	}
+	s.say("graceful shutdown of %s in %s", x.set.Instance, time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// finish stops the rest and fills in the summary.
+func (s *script) finish() (*Summary, error) {
+	if err := s.d.stop(); err != nil {
+		s.sum.CutAtShutdown++
+		s.say("shutdown: %v", err)
+	}
+	services := make([]string, 0, len(s.d.conf.Services))
+	for i := range s.d.conf.Services {
+		services = append(services, s.d.conf.Services[i].Name)
+	}
+	s.sum.fill(s.d, s.t.callers, services)
+	if s.sum.Requests == 0 {
+		return nil, eris.New("no request was sent: give --duration more time")
+	}
+	return &s.sum, nil
+}
--- /dev/null
+++ b/try/traffic.go
@@ -0,0 +1,112 @@
+package try
+
+import (
+	"context"
+	"sync"
+
+	"wisteriafold/config"
+	"wisteriafold/standin"
+)
+
+const (
+	readPart    = 0.4  // of an organisation's rate, reads through the whole chain
+	onceRate    = 3.0  // non-idempotent requests per second of an organisation
+	openRate    = 20.0 // requests per second on open routes
+	uploadRate  = 1.0  // uploads per second
+	uploadBytes = 1 << 20
+	heavyFactor = 5.0 // times its rate that the heavy organisation sends
+	retries     = 3   // of callers that were told "not run"
+	chainDepth  = 3   // services that one request touches
+)
+
+// kinds returns the traffic of a deployment: each organisation reads through a
+// three-deep chain and sends non-idempotent requests, the last one sends
+// several times its rate.
+func kinds(conf *config.Configuration, keys map[string]string) []standin.Kind {
+	var out []standin.Kind
+	read, once, open, upload := pickRoutes(conf)
+	for i := range conf.Organisations {
+		o := &conf.Organisations[i]
+		rate := o.Rate * readPart
+		name := "read"
+		if i == len(conf.Organisations)-1 {
+			rate, name = o.Rate*heavyFactor, heavyKind
+		}
+		out = append(out, standin.Kind{
+			Name: name, Method: "GET", Path: read.Prefix + "/1", Chain: chainFrom(conf, read.Service),
+			Key: keys[o.Name], Owner: o.Name, Rate: rate, Retries: retries,
+		}, standin.Kind{
+			Name: "once", Method: "POST", Path: once.Prefix, Chain: chainFrom(conf, once.Service),
+			Key: keys[o.Name], Owner: o.Name, Rate: onceRate, Once: true, Retries: retries,
+		})
+	}
+	first := conf.Organisations[0].Name
+	return append(out,
+		standin.Kind{Name: "open", Method: "GET", Path: open.Prefix, Rate: openRate, Retries: retries},
+		standin.Kind{Name: "upload", Method: "POST", Path: upload.Prefix, Key: keys[first], Owner: first, Rate: uploadRate, BodyBytes: uploadBytes},
+	)
+}
+
+// heavyKind names the requests of the organisation that sends too many.
+const heavyKind = "over-rate"
+
+// pickRoutes returns a route of each sort.
+func pickRoutes(conf *config.Configuration) (read, once, open, upload *config.Route) {
+	for i := range conf.Routes {
+		r := &conf.Routes[i]
+		switch {
+		case r.Open:
+			open = r
+		case r.MaxBody > uploadBytes:
+			upload = r
+		case r.Idempotent != nil && !*r.Idempotent && once == nil:
+			once = r
+		case r.IdempotentFor("GET") && len(r.Methods) > 0 && r.Methods[0] == "GET" && read == nil:
+			read = r
+		}
+	}
+	return read, once, open, upload
+}
+
+// chainFrom returns the services that a request calls after the first one.
+func chainFrom(conf *config.Configuration, first string) string {
+	out := ""
+	n := 1
+	for i := range conf.Services {
+		if name := conf.Services[i].Name; name != first && n < chainDepth {
+			if out != "" {
+				out += ","
+			}
+			out += name
+			n++
+		}
+	}
+	return out
+}
+
+// traffic runs callers of all kinds until it is stopped.
+type traffic struct {
+	callers *standin.Callers
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+func startTraffic(entries []string, ks []standin.Kind, seed uint64) *traffic {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &traffic{callers: standin.NewCallers(entries), cancel: cancel}
+	for i, k := range ks {
+		t.wg.Add(1)
+		go func() {
+			defer t.wg.Done()
+			t.callers.Run(ctx, k, seed+uint64(i))
+		}()
+	}
+	return t
+}
+
+// stop ends the callers after their last answers.
+func (t *traffic) stop() {
+	t.cancel()
+	t.wg.Wait()
+	t.callers.Close()
+}
