instance: a first call sees the endpoints, leaving uses the links

Cause: the first call to a service found a picker without endpoints, and a daemon that left had closed its links before it gave back its shares. Ready asks for agreed contracts in place of tokens, which sixteen daemons cannot all hold of a burst of ten.

--- a/instance/ready.go
+++ b/instance/ready.go
@@ -14,8 +14,8 @@
 
 func (e readyAsked) apply(c *control, now time.Time) { e.reply <- c.lacks(now, e.members) }
 
-// Ready returns what the daemon still lacks to serve every route for every
-// organisation, or "" when it lacks nothing. members is the number of instances
+// Ready returns what the daemon still lacks to serve every route and to lend
+// what it holds of every contract, or "" when it lacks nothing. members is the number of instances
 // that the rosters of all data centres should list.
 func (d *Daemon) Ready(members int) string {
 	asked := readyAsked{members, make(chan string, 1)}
@@ -45,16 +45,12 @@
 			return "endpoints of " + svc.Name
 		}
 	}
-	lack := ""
-	for _, o := range s.Configuration.Organisations { // each take tells of demand
-		v := c.d.limiter.Take(now, o.Name)
-		if !v.OK {
-			lack = "tokens for " + o.Name
-			continue
+	for _, x := range c.shares.Status(now).Shares {
+		if x.Holding && !x.Agreed {
+			return "agreement on the contract of " + x.Contract
 		}
-		c.d.limiter.GiveBack(v)
 	}
-	return lack
+	return ""
 }
 
 // Weight returns the weight of an organisation in the configuration in force
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -28,10 +28,10 @@
 	d.settle(ctx, lastAnswers)
 	cut := d.awaitIdle(ctx)
 	d.closeServers(ctx)
+	d.leave(ctx)
 	if err := d.links.Close(ctx); err != nil && cut == nil {
 		cut = err
 	}
-	d.leave(ctx)
 	d.stop()
 	return cut
 }
--- a/try/deployment.go
+++ b/try/deployment.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -241,21 +243,21 @@
 
 // stop ends everything that still runs.
 func (d *deployment) stop() error {
-	var first error
-	for _, s := range d.sites {
+	faults := make([]error, len(d.sites))
+	var wg sync.WaitGroup
+	for i, s := range d.sites {
 		if s.stopped {
 			continue
 		}
-		if err := s.shutdown(); err != nil && first == nil {
-			first = err
-		}
+		wg.Go(func() { faults[i] = s.shutdown() })
 	}
+	wg.Wait()
 	for _, s := range d.sites {
 		_ = s.backend.Close()
 	}
 	d.client.Close()
 	_ = d.platform.Shutdown()
-	return first
+	return errors.Join(faults...)
 }
 
 func (s *site) shutdown() error {
