--- a/claim/claim.go
+++ b/claim/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -139,8 +138,7 @@
 // giveUp refuses a request whose claim could not be written. When the claim may
 // still land it is remembered, so that Maintain releases it.
 func (c *Claims) giveUp(w Write, err error) error {
-	var unavailable *platform.UnavailableError
-	if !errors.As(err, &unavailable) {
+	if !isCertain(err) {
 		c.remember(loose{key: w.Key, expect: w.Expect, nonce: w.Row.Nonce})
 	}
 	c.stats.storeDown.Add(1)
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -160,15 +160,18 @@
 	}
 }
 
-// givenUp leaves a claim that is still on its way when its caller has left.
+// givenUp leaves a claim that is still on its way when the store goes down.
 func givenUp(t *testing.T) (*memory.Store, *Claims) {
 	store := memory.New()
 	a := claims(store, "a", 1)
-	store.SetFate(func(platform.Tx) memory.Fate { return memory.Late })
+	store.SetFate(func(platform.Tx) memory.Fate {
+		store.SetFaults(memory.Faults{Down: true})
+		return memory.Late
+	})
 	_, _, err := take(a, keyOf("k"))
 	requireRefusal(t, err, request.NotRun, request.ReasonStoreDown)
-	time.Sleep(10 * time.Second)
 	store.SetFate(nil)
+	store.SetFaults(memory.Faults{})
 	require.Equal(t, 1, a.Stats().Unsettled)
 	return store, a
 }
@@ -179,7 +182,7 @@
 			store, a := givenUp(t)
 			b := claims(store, "b", 2)
 			if landsFirst {
-				require.Equal(t, 1, store.Land(), "of many tries one lands")
+				require.Equal(t, 1, store.Land())
 				_, _, err := take(b, keyOf("k"))
 				requireRefusal(t, err, request.Unknown, request.ReasonClaimHeld)
 			}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -178,10 +178,9 @@
 			return
 		}
 		var conflict *platform.ConflictError
-		var unavailable *platform.UnavailableError
 		switch {
 		case errors.As(err, &conflict):
-		case errors.As(err, &unavailable):
+		case isCertain(err):
 			fail(group, err)
 			return
 		default:
@@ -198,6 +197,15 @@
 	}
 }
 
+// isCertain reports whether a write that failed with err will never land. An
+// AmbiguousError anywhere in the chain goes first: its cause may well be an
+// UnavailableError of the read-back.
+func isCertain(err error) bool {
+	var ambiguous *platform.AmbiguousError
+	var unavailable *platform.UnavailableError
+	return !errors.As(err, &ambiguous) && errors.As(err, &unavailable)
+}
+
 // try commits the group in one transaction, and answers all of it when that
 // succeeds.
 func (w *Writer) try(ctx context.Context, group []*pending) error {
