backend: a drain can be taken back

Cause: a backend server that announced its leave and answers again stays, and its gate went on refusing.

Change: Gate.Resume and Core.Resume; Idle belongs to the drain in progress.

Conclusion: the drain test goes through two drains with a call in between.

--- a/backend/core.go
+++ b/backend/core.go
@@ -183,6 +183,9 @@
 // Drain refuses every later call. Waiting and running calls still end.
 func (c *Core) Drain() { c.draining = true }
 
+// Resume lets calls in again: the backend server stays after all.
+func (c *Core) Resume() { c.draining = false }
+
 // Restart makes the limit cold: the backend server was replaced.
 func (c *Core) Restart() { c.limiter.Restart() }
 
--- a/backend/gate.go
+++ b/backend/gate.go
@@ -143,9 +143,25 @@
 	g.publish()
 }
 
-// Idle returns a channel that is closed when the gate drains and its last call
-// has ended.
-func (g *Gate) Idle() <-chan struct{} { return g.idle }
+// Resume ends a drain: the backend server stays after all.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Resume()
+	if g.isIdle {
+		g.isIdle = false
+		g.idle = make(chan struct{})
+	}
+	g.publish()
+}
+
+// Idle returns a channel that is closed when the drain that is in progress, or
+// the next one, has seen its last call end.
+func (g *Gate) Idle() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle
+}
 
 // Evict refuses the waiting calls for which match returns true, with outcome
 // NotRun and the given reason, and returns their number.
--- a/backend/gate_test.go
+++ b/backend/gate_test.go
@@ -61,6 +61,14 @@
 		}
 		second.Done(Result{})
 		<-g.Idle()
+		g.Resume()
+		fourth, err := g.Enter(t.Context(), callOf("fourth"), 1)
+		require.NoError(t, err)
+		g.Drain()
+		again := g.Idle()
+		require.Empty(t, again)
+		fourth.Done(Result{})
+		<-again
 	})
 }
 
