Spread: tests for each of its mechanisms; a store that lost commits

Change: tests for slow answers, a lost rack, twenty data centres of which one reaches the store, gaps, pages that end inside a commit, and a store that lost commits. A read that returns a lower generation than was in force when it began is now RegressedError and confirms nothing.

--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -31,6 +31,7 @@
 	cut   func(from, to string) bool // links that lose everything
 	blind func(daemon string) bool   // daemons that don't reach the store
 	loss  float64                    // probability that a message is lost
+	slow  float64                    // probability that a message takes slowBy longer
 	bytes int                        // sent, marshalled
 	reads int                        // of the store
 }
@@ -66,7 +67,10 @@
 	return x
 }
 
-const tickEvery = 50 * time.Millisecond
+const (
+	tickEvery = 50 * time.Millisecond
+	slowBy    = 1500 * time.Millisecond
+)
 
 func newFleet(t testing.TB, seed uint64, dataCentres, each int) *fleet {
 	f := &fleet{
@@ -138,6 +142,9 @@
 	if target := f.daemons[to]; target != nil && target.dc != d.dc {
 		latency = 20 * time.Millisecond
 	}
+	if f.random.Float64() < f.slow {
+		latency += slowBy
+	}
 	f.after(latency, func() {
 		target := f.daemons[to]
 		if target == nil || target.stopped {
--- a/config/reader.go
+++ b/config/reader.go
@@ -34,7 +34,7 @@
 			return Update{}, err
 		}
 		if newest < since {
-			return Update{}, &RegressedError{Store: newest, Have: since}
+			return Update{}, &RegressedError{}
 		}
 		if len(rows) < pageRows {
 			keep(changed, rows)
@@ -51,7 +51,7 @@
 
 // RegressedError reports a store that has lost commits that this daemon has
 // seen. The daemon keeps what it has.
-type RegressedError struct{ Store, Have uint64 }
+type RegressedError struct{}
 
 // Error names the remedy.
 func (e *RegressedError) Error() string {
--- a/config/relay.go
+++ b/config/relay.go
@@ -8,6 +8,7 @@
 	reading  bool
 	started  time.Time // of the read under way
 	since    uint64    // store version that it starts from
+	had      uint64    // generation that was in force here when it started
 	read     time.Time // start of the last read that succeeded
 	began    time.Time // when this daemon began to read
 	askNext  time.Time // of the next asks to other data centres
@@ -47,7 +48,7 @@
 	}
 	if !r.reading && !now.Before(r.next) {
 		r.reading, r.started = true, now
-		r.since = m.content.snapshot.Version
+		r.had, r.since = m.generation(), m.content.snapshot.Version
 		if m.full {
 			r.since = 0
 		}
@@ -70,6 +71,9 @@
 func (m *Spreader) Fetched(now time.Time, u Update, err error) {
 	r := &m.relay
 	r.reading = false
+	if err == nil && u.Changed && u.Head.Generation < r.had {
+		err = &RegressedError{}
+	}
 	if err != nil {
 		r.failures++
 		m.lastError = err.Error()
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -1,12 +1,17 @@
 package config
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wisteriafold/platform"
+	"wisteriafold/platform/memory"
 )
 
 // inForce is the time within which a change must be in force wherever the
@@ -60,6 +65,105 @@
 	}
 }
 
+// At twenty data centres a relay without the store can't ask all at a time.
+func TestOneOfTwentyDataCentresReachesTheStore(t *testing.T) {
+	f := newFleet(t, 11, 20, 3)
+	f.apply(marked(1))
+	f.run(10 * time.Second)
+	sighted := f.daemons[f.names[0]].topology.relays[0]
+	f.blind = func(d string) bool { return d != sighted }
+	f.run(10 * time.Second)
+	for i := 2; i < 102; i++ {
+		f.run(time.Duration(f.random.Int64N(int64(inForce))))
+		g := f.apply(marked(i))
+		f.run(inForce)
+		require.Empty(t, f.behind(g, nil), "generation %d", g)
+	}
+}
+
+// A rack is lost at the moment of a change, inner nodes of the first tree
+// among it, before anybody has noticed.
+func TestChangeIsInTimeWhileARackIsLost(t *testing.T) {
+	f := newFleet(t, 14, 1, 400)
+	f.apply(marked(1))
+	f.run(15 * time.Second)
+	top := f.daemons[f.names[0]].topology
+	for _, address := range top.order[:40] {
+		f.daemons[address].stopped = top.rank(address) < 0
+	}
+	g := f.apply(marked(2))
+	f.run(inForce)
+	require.Empty(t, f.behind(g, nil))
+}
+
+func TestStoreThatLostCommitsTakesNobodyBack(t *testing.T) {
+	f := newFleet(t, 12, 2, 4)
+	f.apply(marked(1))
+	f.apply(marked(2))
+	g := f.apply(marked(3))
+	f.run(5 * time.Second)
+	f.store = memory.New()
+	var regressed *RegressedError
+	_, err := Reader{f.store}.Read(context.Background(), 100)
+	require.ErrorAs(t, err, &regressed)
+	for range 100 { // other tables go on, so that versions are higher than before
+		_, err := f.store.Commit(context.Background(), platform.Tx{Writes: []platform.Write{{Table: "other", Key: "k"}}})
+		require.NoError(t, err)
+	}
+	f.apply(marked(9))
+	lost := f.now
+	for _, d := range f.daemons {
+		d.full = true // the next read is of everything
+	}
+	f.run(20 * time.Second)
+	for _, d := range f.daemons {
+		require.Equal(t, g, d.Snapshot().Generation)
+		require.LessOrEqual(t, d.ConfirmedAt().Sub(lost), time.Duration(0))
+	}
+}
+
+func TestGapIsFilledWithoutSendingEverything(t *testing.T) {
+	f := newFleet(t, 13, 1, 4)
+	f.apply(marked(1))
+	f.run(5 * time.Second)
+	cut := f.rosters["dc0"][1]
+	f.cut = func(a, b string) bool { return a == cut || b == cut }
+	f.blind = func(d string) bool { return d == cut }
+	for i := 2; i < 5; i++ {
+		f.apply(marked(i))
+		f.run(inForce)
+	}
+	d, other := f.daemons[cut], f.daemons[f.rosters["dc0"][2]]
+	d.receiveDelta(f.now, other.o.Self, other.deltas(3, true)[0])
+	require.Equal(t, uint64(1), d.Snapshot().Generation)
+	require.False(t, d.full, "a gap is no damage")
+	f.cut = func(string, string) bool { return false }
+	f.run(inForce)
+	require.Empty(t, f.behind(4, nil))
+}
+
+// A page of changes that ends inside one commit must not be taken for all of it.
+func TestReaderNeverSplitsACommit(t *testing.T) {
+	store, r := memory.New(), rand.NewChaCha8([32]byte{9})
+	mustApply(t, store, marked(1), r)
+	since := mustRead(t, store).Snapshot.Version
+	c := marked(2)
+	c.Organisations = append(c.Organisations, manyOrganisations(pageRows-10)...)
+	mustApply(t, store, c, r)
+	more := *c
+	more.Organisations = append(manyOrganisations(pageRows + 300)[pageRows-10:], c.Organisations...)
+	mustApply(t, store, &more, r)
+	want := mustRead(t, store)
+	for _, from := range []uint64{since, since + 1, 0} {
+		u, err := Reader{store}.Read(context.Background(), from)
+		require.NoError(t, err)
+		require.Equal(t, want.Snapshot.Generation, u.Head.Generation)
+		if from == since {
+			require.Len(t, u.Rows, pageRows-10+310+2)
+		}
+	}
+}
+
 func TestPartitionHealsAndNothingGoesBack(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		f := newFleet(t, seed, 3, 12)
@@ -239,7 +343,7 @@
 
 func TestAgeOfKnowledgeIsNeverUnderstated(t *testing.T) {
 	f := newFleet(t, 10, 2, 20)
-	f.loss = 0.1
+	f.loss, f.slow = 0.1, 0.3
 	f.apply(marked(1))
 	f.run(20 * time.Second)
 	f.blind = func(string) bool { return true }
