Spread: lost results of reads, data centres that do not answer, cheap rosters

Cause: the daemon drops events when its mailbox is full; a dropped result of a read would have stopped a relay for good. SetRoster forgot which parents are silent on every call, also when nothing had changed.

Change: a read without a result counts as failed after 5 s, and the next result, which may be the late one, confirms nothing. Confirmed lists every data centre that is known, the silent ones with their instances as missing. SetRoster with the same addresses does nothing. Keyring.For shares the keyring of generations that change no key; Apply looks organisations up by binary search.

--- a/config/confirm.go
+++ b/config/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -191,11 +192,30 @@
 	m.reports.summaries[st.DataCentre] = st
 }
 
-// Confirmed returns what is known of each data centre, by name.
+// Confirmed returns what is known of each data centre, by name. One that has
+// not answered has no members.
 func (m *Spreader) Confirmed() []DataCentreStatus {
-	out := make([]DataCentreStatus, 0, len(m.reports.summaries))
-	for _, dc := range sortedKeys(m.reports.summaries) {
-		out = append(out, m.reports.summaries[dc])
+	all := maps.Clone(m.reports.summaries)
+	for dc, roster := range m.rosters {
+		if _, answered := all[dc]; !answered && len(roster) > 0 {
+			all[dc] = silent(dc, roster)
+		}
+	}
+	if _, answered := all[m.o.DataCentre]; !answered {
+		all[m.o.DataCentre] = silent(m.o.DataCentre, m.roster)
+	}
+	out := make([]DataCentreStatus, 0, len(all))
+	for _, dc := range sortedKeys(all) {
+		out = append(out, all[dc])
 	}
 	return out
 }
+
+// silent is the status of a data centre that has not answered.
+func silent(dataCentre string, roster []string) DataCentreStatus {
+	s := DataCentreStatus{DataCentre: dataCentre, Roster: len(roster), Missing: len(roster)}
+	for _, address := range roster[:min(maxLaggards, len(roster))] {
+		s.Laggards = append(s.Laggards, Laggard{Instance: address})
+	}
+	return s
+}
--- a/config/relay.go
+++ b/config/relay.go
@@ -1,11 +1,15 @@
 package config
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // relay is the state of a daemon that reads the store, or may come to.
 type relay struct {
 	next     time.Time // of the next read
 	reading  bool
+	lost     int       // reads without a result, which may still come
 	started  time.Time // of the read under way
 	since    uint64    // store version that it starts from
 	had      uint64    // generation that was in force here when it started
@@ -46,6 +50,12 @@
 	if r.began.IsZero() {
 		r.began = now
 	}
+	if r.reading && now.Sub(r.started) >= readTimeout {
+		r.reading = false
+		r.lost++
+		r.failures++
+		m.lastError = fmt.Sprintf("a read of the store has no result after %s: this daemon has more work than it can take", readTimeout)
+	}
 	if !r.reading && !now.Before(r.next) {
 		r.reading, r.started = true, now
 		r.had, r.since = m.generation(), m.content.snapshot.Version
@@ -67,10 +77,16 @@
 	return now.Sub(m.relay.began) > cutOffAfter && now.Sub(m.confirmed) > cutOffAfter && now.Sub(m.relay.read) > cutOffAfter
 }
 
-// Fetched takes the result of the read that Fetch began.
+// Fetched takes the result of the read that Fetch began. After a read without
+// a result, the next result may be of an older read than the last one: it is
+// used, but confirms nothing.
 func (m *Spreader) Fetched(now time.Time, u Update, err error) {
 	r := &m.relay
 	r.reading = false
+	late := r.lost > 0
+	if late {
+		r.lost--
+	}
 	if err == nil && u.Changed && u.Head.Generation < r.had {
 		err = &RegressedError{}
 	}
@@ -82,7 +98,7 @@
 	r.failures, r.read = 0, r.started
 	if !u.Changed {
 		// Nothing was newer than the version that the read started from.
-		if r.since <= m.content.snapshot.Version && !m.full {
+		if !late && !m.full {
 			m.confirm(m.generation(), r.started)
 		}
 		return
@@ -91,7 +107,9 @@
 	if m.take(now, u.Head, u.Version, u.Full, u.Rows) {
 		m.feed(from)
 	}
-	m.confirm(u.Head.Generation, r.started)
+	if !late {
+		m.confirm(u.Head.Generation, r.started)
+	}
 }
 
 // askAbroad asks relays of other data centres, which also makes them tell
--- a/config/since.go
+++ b/config/since.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strings"
 )
 
 // ContractVersion returns the generation in which the organisation's contract,
@@ -51,13 +52,13 @@
 		(len(a.Split) == 0 || reflect.DeepEqual(a.Split, b.Split))
 }
 
+// findOrganisation returns the organisation of that name in a list in order.
 func findOrganisation(c *Configuration, name string) *Organisation {
-	for i := range c.Organisations {
-		if c.Organisations[i].Name == name {
-			return &c.Organisations[i]
-		}
+	at, found := slices.BinarySearchFunc(c.Organisations, name, func(o Organisation, n string) int { return strings.Compare(o.Name, n) })
+	if !found {
+		return nil
 	}
-	return nil
+	return &c.Organisations[at]
 }
 
 func findLink(c *Configuration, id string) *Link {
--- a/config/spread.go
+++ b/config/spread.go
@@ -18,6 +18,7 @@
 	announceGrace = 200 * time.Millisecond // from an announcement until its sender is asked
 	announceTries = 10                     // asks for one announcement
 	readEvery     = 500 * time.Millisecond // between reads of the store by one relay
+	readTimeout   = 5 * time.Second        // after which a read counts as lost
 	takeoverAge   = 4 * time.Second        // age of knowledge at which a candidate begins to read
 	takeoverStep  = time.Second            // added for each place further down
 	cutOffAfter   = 1500 * time.Millisecond
@@ -65,6 +66,7 @@
 	content   *content
 	journal   journal
 	withdrawn map[string]uint64 // key digest to the generation that withdraws it
+	roster    []string          // of this data centre, as it was given
 	topology  topology
 	rosters   map[string][]string // of other data centres
 	confirmed time.Time           // when nothing newer than content was known to exist
@@ -105,6 +107,10 @@
 		m.rosters[dataCentre] = addresses
 		return
 	}
+	if slices.Equal(addresses, m.roster) {
+		return
+	}
+	m.roster = slices.Clone(addresses)
 	m.topology = newTopology(m.o.Self, addresses)
 	for tree := range m.asks.level {
 		m.asks.level[tree] = 0
--- a/organisation/keyring.go
+++ b/organisation/keyring.go
@@ -4,11 +4,14 @@
 
 // Keyring finds the owner of a key. It is immutable; traffic reads it without
 // locks.
-type Keyring struct{ owners map[KeyID]string }
+type Keyring struct {
+	owners map[KeyID]string
+	list   []config.Key // that owners were made of
+}
 
 // NewKeyring returns the keys of a configuration.
 func NewKeyring(c *config.Configuration) *Keyring {
-	r := &Keyring{owners: make(map[KeyID]string, len(c.Keys))}
+	r := &Keyring{owners: make(map[KeyID]string, len(c.Keys)), list: c.Keys}
 	for i := range c.Keys {
 		id, err := ParseKeyID(c.Keys[i].Digest)
 		if err != nil {
@@ -19,6 +22,16 @@
 	return r
 }
 
+// For returns the keyring of a configuration: r itself when the configuration
+// shares its list of keys with the one that r was made of, as generations do
+// that change no key.
+func (r *Keyring) For(c *config.Configuration) *Keyring {
+	if len(r.list) > 0 && len(c.Keys) == len(r.list) && &c.Keys[0] == &r.list[0] {
+		return r
+	}
+	return NewKeyring(c)
+}
+
 // Lookup returns the organisation that owns the key as a caller sent it. The
 // work is one digest and one map access, whether the key is known or not, and
 // does not depend on the key's bytes. It does not allocate.
--- a/organisation/organisation_test.go
+++ b/organisation/organisation_test.go
@@ -51,6 +51,20 @@
 	require.Equal(t, []KeyID{id1}, Withdrawn(ring, less))
 }
 
+func TestKeyringIsSharedOnlyWithTheSameListOfKeys(t *testing.T) {
+	_, id := testKey(t, 1)
+	c := &config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "a"}}}
+	ring := NewKeyring(c)
+	same := *c
+	require.Same(t, ring, ring.For(&same))
+	other := config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "b"}}}
+	owner, _ := ring.For(&other).Owner(id)
+	require.Equal(t, "b", owner)
+	less := ring.Without([]string{id.String()})
+	owner, _ = less.For(c).Owner(id)
+	require.Equal(t, "a", owner)
+}
+
 func TestKeyOfAnotherOrganisationCountsAsWithdrawn(t *testing.T) {
 	_, id := testKey(t, 1)
 	before := NewKeyring(&config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "a"}}})
