backend, request: the admission level moves by factors of the demand it lets in

Cause: at 3x demand with callers that ask again eight times, 44,000 requests a second press on a chain that carries 2,000, so that the smallest fall of the level, a hundredth of a class, let in 22 percent of the capacity more, and the largest seven times the capacity; the deepest gates swung between idle and a full queue and refused calls that work had been spent on. Ruled out: stale reports and uneven endpoint choice (the queues of all four endpoints rose and fell together once the choice was mended).

Change: the level steers the offered calls of a window towards what the gate starts, corrected by the distance of the queue from a 20 ms wait, and moves by factors of the open part of a class, damped below 1.5. Calls below the level count only while entries follow. An entry may cross a class upwards in 50 ms instead of 250 ms.

--- a/backend/level.go
+++ b/backend/level.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"time"
 
 	"wisteriafold/request"
@@ -9,51 +10,62 @@
 // level computes the admission level that a gate reports. It is a pure state
 // machine, driven by offers and refusals, and advanced once in each window.
 //
-// The demand of the window is kept as a histogram over priorities, in which
-// calls below the level in force count as lying at it. When calls were shed,
-// the level rises to where the demand above it is what the gate has started in
-// the window. When the gate had room, the level falls in proportion to that
-// room. After a rise it holds still until the entries have had time to follow.
+// It steers the offered calls towards what the gate can start while its queue
+// keeps a short target length, so that the gate is busy and refuses nothing.
+// Calls that entries let in are a part of the demand of each class, and the
+// demand of a class is spread evenly over its priorities. The level therefore
+// moves by factors of the open part of a class, never by fixed steps: the
+// higher the demand, the smaller a step has to be.
+//
+// Corrections are damped, because entries follow only after the time that
+// answers take; a large one is followed by a pause. While the gate is far from
+// busy, the open part grows faster from window to window, so that a level that
+// was left high by an overload opens within a second or two.
 type level struct {
 	cfg      Config
 	value    float64 // in units of request.Priority
 	at       time.Time
 	holdTill time.Time
 
-	demand  [buckets]float64
-	started float64 // calls that the gate started in the window
-	shed    float64 // calls refused in the window for lack of room
-	short   bool    // the queue was empty at some time in the window
-	busy    float64 // integral of running / limit over the window, in seconds
-	seenAt  time.Time
-	most    float64 // largest fall in the next window, in classes
+	offered   [request.Classes]float64 // calls offered in the window
+	compliant [request.Classes]float64 // those of them at or above the level
+	started   float64                  // calls that the gate started in the window
+	shed      float64                  // calls refused in the window for lack of room
+	least     int                      // shortest queue in the window
+	waiting   int                      // queue now
+	busy      float64                  // integral of running / limit over the window, in seconds
+	seenAt    time.Time
+	most      float64 // largest factor of the next fall
 }
 
 const (
-	bucketsPerClass = 64
-	buckets         = request.Classes * bucketsPerClass
-	bucketWidth     = float64(request.ClassWidth) / bucketsPerClass
-
-	keepLeast   = 0.5  // part of the demand that one rise leaves at least
-	holdWindows = 2    // windows for which the level holds after a rise
-	roomTarget  = 0.97 // utilisation at which the level no longer falls
-	roomGain    = 0.5  // part of the room that one fall gives away
-	fallMost    = 0.15 // largest fall in one window after one without a fall, in classes
-	fallLeast   = 0.01 // smallest fall in one window, in classes
-	fallSpeedUp = 1.5  // growth of the largest fall from one window to the next
-	fallLimit   = 0.75 // bound of the largest fall, in classes
-	idleEnough  = 0.7  // utilisation under which falls speed up
-	shedNoise   = 0.01 // part of the demand that may be shed without a rise
+	levelGain   = 0.3                   // part of a small error that one window corrects
+	noisyCalls  = 20                    // calls in a window at which the gain is halved
+	largeError  = 1.5                   // factor from which an error is corrected at once
+	riseMost    = 0.05                  // least part of the calls that one rise leaves
+	holdWindows = 2                     // windows for which the level holds after a large correction
+	queueWait   = 20 * time.Millisecond // wait that corresponds to the target length of the queue
+	queueGain   = 0.3                   // part of the queue's error that one window corrects
+	following   = 0.4                   // part of compliant calls from which entries count as following
+	openLeast   = 0.002                 // open part that a class starts with
+	openMost    = 2                     // largest factor of a first fall
+	openSpeedUp = 1.5                   // growth of that factor while the gate is far from busy
+	openLimit   = 8                     // its bound
+	idleEnough  = 0.7                   // utilisation under which falls speed up
+	busyLeast   = 0.05                  // utilisation that is assumed at least
+	shedNoise   = 0.01                  // part of the calls that may be shed without a rise
 )
 
-// bucketOf returns the histogram bucket of a priority.
-func bucketOf(p float64) int {
-	return max(0, min(buckets-1, int(p/bucketWidth)))
-}
+// classWidth is the width of a class as a float.
+const classWidth = float64(request.ClassWidth)
 
-// offer counts the demand of one call.
+// offer counts one call.
 func (l *level) offer(p request.Priority) {
-	l.demand[bucketOf(max(float64(p), l.value))]++
+	c := min(int(p.Importance()), request.Classes-1)
+	l.offered[c]++
+	if float64(p) >= l.value {
+		l.compliant[c]++
+	}
 }
 
 // load accounts for the time since the last call of load, during which the
@@ -63,9 +75,8 @@
 		l.busy += min(1, float64(running)/float64(limit)) * dt.Seconds()
 	}
 	l.seenAt = now
-	if waiting == 0 {
-		l.short = true
-	}
+	l.waiting = waiting
+	l.least = min(l.least, waiting)
 }
 
 // advance closes the windows that have ended by now. standing says that the
@@ -79,63 +90,105 @@
 	if span < l.cfg.Window {
 		return
 	}
-	var total float64
-	for _, n := range l.demand {
-		total += n
+	if !now.Before(l.holdTill) {
+		l.correct(now, span, standing)
 	}
-	utilisation := min(1, l.busy/span.Seconds())
+	l.offered, l.compliant = [request.Classes]float64{}, [request.Classes]float64{}
+	l.started, l.shed, l.busy = 0, 0, 0
+	l.least = l.waiting
+	l.at = now
+}
+
+// correct moves the level once at the end of a window.
+func (l *level) correct(now time.Time, span time.Duration, standing bool) {
+	total := sum(&l.offered)
+	target := l.started * float64(queueWait) / float64(span)
+	utilisation := max(busyLeast, min(1, l.busy/span.Seconds()))
+	room := l.started/utilisation + queueGain*(target-float64(l.waiting))
+	pressed := standing || l.shed > shedNoise*total || float64(l.least) > max(target, 1)
 	switch {
-	case l.shed > shedNoise*total || standing:
-		l.rise(now, total)
-	case l.short && l.value > 0 && !now.Before(l.holdTill):
-		l.fall(utilisation, span)
+	case total > room && (pressed || l.value > 0):
+		l.rise(now, total, max(room, 0))
+	case total <= room && l.value > 0 && l.shed <= shedNoise*total:
+		l.fall(now, total, room, utilisation)
 	}
-	l.demand = [buckets]float64{}
-	l.started, l.shed, l.short, l.busy = 0, 0, false, 0
-	l.at = now
 }
 
-// rise moves the level to where the demand above it is what was started.
-func (l *level) rise(now time.Time, total float64) {
-	if now.Before(l.holdTill) || total == 0 {
-		return
+// damped returns the factor by which one window corrects the factor e.
+func damped(e, calls float64) float64 {
+	if e > largeError || e < 1/largeError {
+		return e
+	}
+	return math.Pow(e, levelGain*calls/(calls+noisyCalls))
+}
+
+// rise closes a part of what is open.
+func (l *level) rise(now time.Time, total, room float64) {
+	calls, kept := &l.compliant, sum(&l.compliant)
+	if kept <= room {
+		if kept < following*total {
+			return // entries do not follow yet
+		}
+		calls, kept = &l.offered, total
 	}
-	keep := max(keepLeast, min(1, l.started/total)) * total
-	l.holdTill = now.Add(holdWindows * l.cfg.Window)
-	l.most = fallMost
-	above := 0.0
-	for i := buckets - 1; i >= 0; i-- {
-		n := l.demand[i]
-		if above+n <= keep {
-			above += n
+	factor := max(riseMost, damped(room/kept, kept))
+	if factor <= 1/largeError {
+		l.holdTill = now.Add(holdWindows * l.cfg.Window)
+	}
+	l.most = openMost
+	left := factor * kept
+	for c := request.Classes - 1; c >= 0; c-- {
+		if calls[c] <= left {
+			left -= calls[c]
 			continue
 		}
-		inside := (keep - above) / n
-		top := float64(i+1) * bucketWidth
-		low := max(float64(i)*bucketWidth, l.value)
-		l.value = max(l.value, top-inside*(top-low))
+		l.set(c, l.open(c)*left/calls[c])
 		return
 	}
 }
 
-// fall lowers the level in proportion to the room that was left. The bound of
-// one step grows from window to window while much room is left, so that the
-// level opens within a second or two after an overload has ended, and starts
-// small, so that a single quiet window does not let a surge in.
-func (l *level) fall(utilisation float64, span time.Duration) {
-	width := float64(request.ClassWidth)
-	windows := float64(span) / float64(l.cfg.Window)
-	l.most = max(l.most, fallMost)
-	step := l.most
-	if utilisation > 0 {
-		open := (float64(request.LevelShut) - l.value) / width
-		step = roomGain * open * (roomTarget/utilisation - 1)
-	}
-	step = max(fallLeast, min(l.most, step))
-	l.value = max(0, l.value-step*windows*width)
-	if utilisation < idleEnough {
-		l.most = min(fallLimit, l.most*fallSpeedUp)
+// fall opens more of the class that the level lies in.
+func (l *level) fall(now time.Time, total, room, utilisation float64) {
+	c := l.class()
+	l.most = max(l.most, openMost)
+	factor := l.most
+	if utilisation >= idleEnough {
+		l.most = openMost
+		wanted := total*damped(room/max(total, 1), total) - (total - l.offered[c])
+		factor = min(openMost, wanted/max(l.offered[c], 1))
 	} else {
-		l.most = fallMost
+		l.most = min(openLimit, l.most*openSpeedUp)
+	}
+	if factor >= largeError {
+		l.holdTill = now.Add(l.cfg.Window)
+	}
+	open := max(openLeast, l.open(c)) * max(factor, 1)
+	if open >= 1 && c > 0 {
+		c, open = c-1, openLeast
+	}
+	l.set(c, open)
+}
+
+// class returns the class that the level lies in, with a part of it open.
+func (l *level) class() int {
+	return max(0, min(request.Classes, int(math.Ceil(l.value/classWidth)))-1)
+}
+
+// open returns the part of class c that the level lets in.
+func (l *level) open(c int) float64 {
+	return max(0, min(1, float64(c+1)-l.value/classWidth))
+}
+
+// set moves the level to where the part open of class c is let in.
+func (l *level) set(c int, open float64) {
+	l.value = classWidth * (float64(c+1) - max(0, min(1, open)))
+}
+
+// sum returns the calls of all classes.
+func sum(calls *[request.Classes]float64) float64 {
+	total := 0.0
+	for _, n := range calls {
+		total += n
 	}
+	return total
 }
--- a/bench/attempt.go
+++ b/bench/attempt.go
@@ -102,7 +102,7 @@
 	}
 	if a.at.dead {
 		a.leave()
-		a.send(reply{err: request.Refuse(request.ReasonBroken, "ask another"), direct: true, result: service.Unreachable, left: a.lent})
+		a.send(reply{err: request.Refuse(request.ReasonUnreachable, "ask another"), direct: true, result: service.Unreachable, left: a.lent})
 		return
 	}
 	a.waiting = true
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -38,7 +38,7 @@
 	a.asked++
 	near := a.w.byRegion[a.spec.region]
 	d := near[a.w.rng.IntN(len(near))]
-	a.w.account.stream(a.stream).asked++
+	a.w.account.stream(a.stream).asked.add(a.w.clock.elapsed(), 1)
 	d.enter(a.spec, a.hear)
 }
 
@@ -50,6 +50,7 @@
 		return
 	}
 	s.reasons[why]++
+	s.refused.add(a.w.clock.elapsed(), 1)
 	if a.asked > a.spec.retries {
 		s.failed.add(a.w.clock.elapsed(), 1)
 		return
--- a/bench/heavy.go
+++ b/bench/heavy.go
@@ -111,7 +111,7 @@
 		if a.spec.demand[i].rate(0) > c.rate {
 			continue
 		}
-		all += float64(s.asked)
+		all += s.asked.sum(0, a.spec.duration)
 		for why, n := range s.reasons {
 			if why != request.ReasonBroken {
 				refused += float64(n)
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -50,10 +50,16 @@
 	return s
 }
 
-// overloadSpec is demand of several times the capacity for the whole time.
+// overloadSpec is demand that jumps to several times the capacity after the
+// warm-up, while important requests stay within it.
 func overloadSpec(p Params) spec {
 	important := importantPart * capacity()
 	demand := organisations(p.Organisations, p.Overload*capacity()-important, browsing())
+	for i := range demand {
+		high := demand[i].rate(0)
+		low := high * (normalPart - importantPart) / (p.Overload - importantPart)
+		demand[i].rate = surge(low, high, warmUp, p.Duration)
+	}
 	demand = append(demand, organisations(p.Organisations, important, deposits())...)
 	return spec{
 		services: chain(p.Depth), sites: oneRegion(), demand: demand,
--- a/request/entry.go
+++ b/request/entry.go
@@ -8,7 +8,7 @@
 // EntryConfig tunes EntryControl. Zero fields take their defaults.
 type EntryConfig struct {
 	Smoothing time.Duration // time constant of the average over answers; default 50 ms
-	RiseIn    time.Duration // least time in which the level crosses one class upwards; default 250 ms
+	RiseIn    time.Duration // least time in which the level crosses one class upwards; default 50 ms
 	FallIn    time.Duration // least time in which the level crosses one class downwards; default 200 ms
 	StaleIn   time.Duration // age of the newest feedback after which the level falls by itself; default 500 ms
 	Demand    time.Duration // time constant of the demand measured for each organisation; default 1 s
@@ -22,7 +22,7 @@
 		}
 	}
 	set(&c.Smoothing, 50*time.Millisecond)
-	set(&c.RiseIn, 250*time.Millisecond)
+	set(&c.RiseIn, 50*time.Millisecond)
 	set(&c.FallIn, 200*time.Millisecond)
 	set(&c.StaleIn, 500*time.Millisecond)
 	set(&c.Demand, time.Second)
