request: only a run of tight answers raises an entry's level fast

Change: the slope is 200 ms a class for a first tight answer and up to four times as steep after four in a row.

--- a/request/entry.go
+++ b/request/entry.go
@@ -8,7 +8,7 @@
 // EntryConfig tunes EntryControl. Zero fields take their defaults.
 type EntryConfig struct {
 	Smoothing time.Duration // time constant of the average over answers; default 50 ms
-	RiseIn    time.Duration // least time in which the level crosses one class upwards; default 50 ms
+	RiseIn    time.Duration // time in which the level crosses one class upwards; a run of tight answers divides it by up to fastestRise; default 200 ms
 	FallIn    time.Duration // least time in which the level crosses one class downwards; default 200 ms
 	StaleIn   time.Duration // age of the newest feedback after which the level falls by itself; default 500 ms
 	Demand    time.Duration // time constant of the demand measured for each organisation; default 1 s
@@ -22,13 +22,17 @@
 		}
 	}
 	set(&c.Smoothing, 50*time.Millisecond)
-	set(&c.RiseIn, 50*time.Millisecond)
+	set(&c.RiseIn, 200*time.Millisecond)
 	set(&c.FallIn, 200*time.Millisecond)
 	set(&c.StaleIn, 500*time.Millisecond)
 	set(&c.Demand, time.Second)
 	return c
 }
 
+// fastestRise is how many times faster than RiseIn the level may rise when
+// that many answers in a row were tight. A single one is a stray.
+const fastestRise = 4
+
 // EntryControl decides, for one route at one entry, which outside requests are
 // let in. Its level follows the folded feedback of the answers as a low-pass
 // filter with bounded slope: the gates deep in the chain decide how tight the
@@ -48,6 +52,7 @@
 
 	mu       sync.Mutex
 	level    float64 // in units of Priority
+	tight    int     // answers in a row that were tighter than the level
 	heard    time.Time
 	moved    time.Time
 	shares   [Classes]share
@@ -86,6 +91,11 @@
 	}
 	e.heard, e.moved = now, now
 	gain := float64(dt) / float64(dt+e.cfg.Smoothing)
+	if float64(f.Worst()) > e.level {
+		e.tight++
+	} else {
+		e.tight = 0
+	}
 	e.step(gain*(float64(f.Worst())-e.level), dt)
 }
 
@@ -125,6 +135,7 @@
 // step moves the level by delta, bounded by the slope over dt.
 func (e *EntryControl) step(delta float64, dt time.Duration) {
 	up := float64(ClassWidth) * float64(dt) / float64(e.cfg.RiseIn)
+	up *= float64(max(1, min(e.tight, fastestRise)))
 	down := float64(ClassWidth) * float64(dt) / float64(e.cfg.FallIn)
 	e.level += max(-down, min(up, delta))
 	e.level = max(0, min(float64(LevelShut), e.level))
