The whole path runs: try completes on both hops

Cause: a head without a body ends its direction; the End frame sent after it cancelled the call at the gate. Change: no End frame after a head that carries its body. Before: try ended with a broken answer.

--- a/instance/remote.go
+++ b/instance/remote.go
@@ -13,9 +13,6 @@
 	"wisteriafold/wire"
 )
 
-// end is the frame that closes a message whose body travelled in its head.
-var end = &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}}
-
 // sendRemote sends one attempt to the daemon beside ep and reads its answer.
 func (d *Daemon) sendRemote(ctx context.Context, ep service.Endpoint, out *outgoing) (*answer, *failure) {
 	s, err := d.links.Open(ctx, ep.Peer)
@@ -24,11 +21,7 @@
 		e.Cause = err
 		return nil, &failure{err: e, transport: true}
 	}
-	frames := []*wire.Frame{{Kind: &wire.Frame_Call{Call: out.head}}}
-	if !out.head.BodyFollows {
-		frames = append(frames, end)
-	}
-	if err := s.Write(frames...); err != nil {
+	if err := s.Write(&wire.Frame{Kind: &wire.Frame_Call{Call: out.head}}); err != nil {
 		_ = s.Close()
 		return nil, lostOnLink(ctx, err)
 	}
@@ -127,7 +120,7 @@
 	}
 	ans, fail := d.runHere(ctx, in)
 	if fail != nil {
-		_ = s.Write(&wire.Frame{Kind: &wire.Frame_Answer{Answer: fail.head}}, end)
+		_ = s.Write(&wire.Frame{Kind: &wire.Frame_Answer{Answer: fail.head}})
 		return
 	}
 	ans.close(d.writeAnswer(s, ans))
@@ -137,7 +130,7 @@
 func (d *Daemon) writeAnswer(s *link.Stream, ans *answer) bool {
 	head := &wire.Frame{Kind: &wire.Frame_Answer{Answer: ans.head}}
 	if !ans.head.BodyFollows {
-		return s.Write(head, end) == nil
+		return s.Write(head) == nil
 	}
 	return s.Write(head) == nil && copyChunks(s, ans.body) == nil
 }
