--- a/contract/limiter.go
+++ b/contract/limiter.go
@@ -85,7 +85,10 @@
 // GiveBack returns the tokens of a request that was certainly not run to the
 // loan that they came from, while that loan lasts. Some are lost then, so that
 // no window that begins between Take and GiveBack exceeds its bound.
-func (l *Limiter) GiveBack(now time.Time, v Verdict) {
+func (l *Limiter) GiveBack(v Verdict) { l.GiveBackAt(time.Now(), v) }
+
+// GiveBackAt is GiveBack at a given time.
+func (l *Limiter) GiveBackAt(now time.Time, v Verdict) {
 	if v.OK && v.part != nil {
 		v.part.giveBack(int64(now.Sub(l.epoch)), v.at, v.units)
 	}
--- a/contract/scenario/fleet.go
+++ b/contract/scenario/fleet.go
@@ -316,7 +316,7 @@
 	ticket := f.Check.Admit(f.Now, name, 1).Hold()
 	offset := d.offset
 	f.after(after, func() {
-		machine.Limiter().GiveBack(f.base.Add(f.Now+offset), v)
+		machine.Limiter().GiveBackAt(f.base.Add(f.Now+offset), v)
 		f.Check.Withdraw(f.Now, ticket)
 	})
 }
--- a/contract/schedule_test.go
+++ b/contract/schedule_test.go
@@ -35,7 +35,7 @@
 type variant struct{ options func(*scenario.Options) }
 
 // play runs one random schedule and returns the first violation.
-func play(seed uint64, v variant) (error, int64) {
+func play(seed uint64, v variant) (int64, error) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	o := quick(seed, rng)
 	if v.options != nil {
@@ -75,15 +75,15 @@
 		}
 		f.Run(traffic)
 		if f.Check.Violation != nil {
-			return fmt.Errorf("seed %d, %d data centres, %v: %w", seed, o.DataCentres, kinds, f.Check.Violation), 0
+			return 0, fmt.Errorf("seed %d, %d data centres, %v: %w", seed, o.DataCentres, kinds, f.Check.Violation)
 		}
 	}
-	return nil, f.Check.Admitted("a") + f.Check.Admitted("b")
+	return f.Check.Admitted("a") + f.Check.Admitted("b"), nil
 }
 
 // each runs play for the seeds from first on, on all processors, and returns
 // the violation of the least seed.
-func each(first, count uint64, v variant) (error, int64) {
+func each(first, count uint64, v variant) (int64, error) {
 	var next atomic.Uint64
 	var admitted atomic.Int64
 	var mu sync.Mutex
@@ -101,7 +101,7 @@
 				if stop {
 					return
 				}
-				err, n := play(seed, v)
+				n, err := play(seed, v)
 				admitted.Add(n)
 				if err != nil {
 					mu.Lock()
@@ -114,7 +114,7 @@
 		})
 	}
 	wg.Wait()
-	return worst, admitted.Load()
+	return admitted.Load(), worst
 }
 
 // CONTRACT_SCHEDULES asks for more schedules than CI runs.
@@ -132,7 +132,7 @@
 
 func TestNoWindowExceedsItsBoundInAnySchedule(t *testing.T) {
 	const inCI = 10_000
-	err, admitted := each(1, schedules(inCI), variant{})
+	admitted, err := each(1, schedules(inCI), variant{})
 	require.NoError(t, err)
 	require.Positive(t, admitted)
 	t.Logf("%d admissions", admitted)
@@ -141,14 +141,14 @@
 // Seeds that found a fault: tokens given back after their bucket had been full.
 func TestSeedsThatFoundFaults(t *testing.T) {
 	for _, seed := range []uint64{825} {
-		err, _ := play(seed, variant{})
+		_, err := play(seed, variant{})
 		require.NoError(t, err)
 	}
 }
 
 func TestCheckerCatchesBrokenProtocols(t *testing.T) {
 	early := variant{options: func(o *scenario.Options) { o.Machine.Margin, o.Loss = -250*time.Millisecond, 0.1 }}
-	err, _ := each(1, 400, early)
+	_, err := each(1, 400, early)
 	require.ErrorContains(t, err, "more than rate*window+burst", "lenders take loans back while the borrower can use them")
 
 	err = expelSilentHolder(time.Hour)
