Benchmarks of large directories and of keys in a daemon

Change: benchmarks of reading and applying large directories, of the heap and of the keyring by the number of keys. ParseKeyID no longer allocates.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -33,3 +34,44 @@
 		})
 	}
 }
+
+// BenchmarkLargeDirectory reads, checks and applies a directory of many keys
+// to an empty store, then applies it with one key withdrawn.
+func BenchmarkLargeDirectory(b *testing.B) {
+	for _, keys := range []int{1000, 10_000} {
+		text, err := withKeys(marked(1), keys).YAML()
+		require.NoError(b, err)
+		less, err := withKeys(marked(1), keys-1).YAML()
+		require.NoError(b, err)
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			for b.Loop() {
+				store, r := memory.New(), rand.NewChaCha8([32]byte{1})
+				mustApply(b, store, parse(b, string(text)), r)
+				res := mustApply(b, store, parse(b, string(less)), r)
+				require.Equal(b, 1, res.Changes)
+			}
+		})
+	}
+}
+
+// BenchmarkContentHeap gives the heap that one key takes in a daemon, without
+// the text of its row key, which the store in memory shares.
+func BenchmarkContentHeap(b *testing.B) {
+	const keys = 20_000
+	store, r := memory.New(), rand.NewChaCha8([32]byte{1})
+	mustApply(b, store, withKeys(marked(1), keys), r)
+	var held []*Stored
+	before := heapBytes()
+	for b.Loop() {
+		held = append(held, mustRead(b, store))
+	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(keys*len(held)), "B/key")
+	runtime.KeepAlive(held)
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/organisation/key.go
+++ b/organisation/key.go
@@ -35,13 +35,14 @@
 // ParseKeyID reads the form that String returns.
 func ParseKeyID(s string) (KeyID, error) {
 	var id KeyID
+	var digits [2 * len(id)]byte
 	rest, found := strings.CutPrefix(s, digestPrefix)
-	raw, err := hex.DecodeString(rest)
-	if !found || err != nil || len(raw) != len(id) {
-		return id, &KeyFormatError{What: "the digest is not sha256: and 64 hexadecimal digits"}
+	if found && copy(digits[:], rest) == len(rest) && len(rest) == len(digits) {
+		if _, err := hex.Decode(id[:], digits[:]); err == nil {
+			return id, nil
+		}
 	}
-	copy(id[:], raw)
-	return id, nil
+	return KeyID{}, &KeyFormatError{What: "the digest is not sha256: and 64 hexadecimal digits"}
 }
 
 // IDOf returns the digest of a key as a caller sent it.
--- a/organisation/organisation_test.go
+++ b/organisation/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -119,3 +120,22 @@
 		}
 	}
 }
+
+// BenchmarkNewKeyring is what a change of a key costs a daemon, by the number
+// of keys.
+func BenchmarkNewKeyring(b *testing.B) {
+	for _, keys := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			c := &config.Configuration{}
+			for i := range keys {
+				c.Keys = append(c.Keys, config.Key{Digest: fmt.Sprintf("sha256:%064x", i), Organisation: "a"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if NewKeyring(c).Len() != keys {
+					b.Fatal("lost a key")
+				}
+			}
+		})
+	}
+}
