--- a/config/kind.go
+++ b/config/kind.go
@@ -78,6 +78,9 @@
 			if k, isLink := any(&obj).(*Link); isLink && len(k.Regions) != 2 {
 				return fmt.Errorf("link %s has %d regions, not 2", n, len(k.Regions))
 			}
+			if name(&obj) != n {
+				return fmt.Errorf("it holds %s", name(&obj))
+			}
 			l := list(c)
 			at, found := find(*l, n)
 			if found {
--- /dev/null
+++ b/config/receive_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"wisteriafold/platform/memory"
+	"wisteriafold/wire"
+)
+
+// nobody is an outbox that loses everything.
+type nobody struct{}
+
+func (nobody) Send(string, *wire.Spread) {}
+
+// FuzzReceive: whatever a peer sends, a daemon does not fail, does not go back,
+// and does not take what does not fit its digest.
+func FuzzReceive(f *testing.F) {
+	store, r := memory.New(), rand.NewChaCha8([32]byte{1})
+	mustApply(f, store, parse(f, good), r)
+	stored := mustRead(f, store)
+	sender := NewSpreader(Options{Self: "a:1", Outbox: nobody{}, Publish: func(*Snapshot, []string) {}, Random: rand.New(rand.NewPCG(1, 1))})
+	head := Head{Generation: 1, Digest: stored.Snapshot.Digest}
+	require.True(f, sender.take(time.Unix(0, 0), head, 1, true, stored.content.all()))
+	add := func(m *wire.Spread) {
+		raw, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+	for _, d := range sender.deltas(0, true) {
+		add(&wire.Spread{Kind: &wire.Spread_Delta{Delta: d}})
+	}
+	gone := &wire.SpreadRow{Key: "key/" + digestA, Deleted: true}
+	add(&wire.Spread{Kind: &wire.Spread_Delta{Delta: &wire.SpreadDelta{Generation: 9, Parts: 2, Tree: true, Rows: []*wire.SpreadRow{gone, {Key: "link/a+b", Value: []byte("{}")}}}}})
+	add(&wire.Spread{Kind: &wire.Spread_Announce{Announce: &wire.SpreadAnnounce{Generation: 9, Withdrawn: [][]byte{{1}}}}})
+	add(&wire.Spread{Kind: &wire.Spread_Ask{Ask: &wire.SpreadAsk{Report: &wire.SpreadReport{Laggards: []*wire.SpreadLaggard{{}}}}}})
+	add(&wire.Spread{Kind: &wire.Spread_Summary{Summary: &wire.SpreadSummary{}}})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		msg := new(wire.Spread)
+		if proto.Unmarshal(raw, msg) != nil {
+			return
+		}
+		now := time.Unix(100, 0)
+		m := NewSpreader(Options{Self: "a:1", DataCentre: "east-1", Outbox: nobody{}, Fetch: func(uint64) {}, Publish: func(*Snapshot, []string) {}, Random: rand.New(rand.NewPCG(1, 1))})
+		m.SetRoster("east-1", []string{"a:1", "b:1", "c:1", "d:1"})
+		require.True(t, m.take(now, head, 1, true, stored.content.all()))
+		for i := range 3 {
+			m.Receive(now.Add(time.Duration(i)*time.Second), "b:1", msg)
+			m.Tick(now.Add(time.Duration(i) * time.Second))
+		}
+		require.GreaterOrEqual(t, m.Snapshot().Generation, uint64(1))
+		require.Equal(t, newContent().digestAfter(m.content.all()), m.Snapshot().Digest)
+		require.True(t, m.ConfirmedAt().IsZero(), "nobody was asked")
+	})
+}
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -187,7 +187,7 @@
 			require.Greater(t, f.now.Sub(f.daemons[a].ConfirmedAt()), 10*time.Second, "those cut off know that they are")
 		}
 		f.cut = func(string, string) bool { return false }
-		f.run(5 * time.Second) // store still out of reach: peers bring it
+		f.run(inForce) // store still out of reach: peers bring it
 		require.Empty(t, f.behind(g, nil))
 	}
 }
