backend: a burst that drains by itself does not raise the admission level at once

Change: a large correction is made at once only when the offered calls are 1.5 times what the gate carries or calls were shed; a long queue that is getting shorter is no reason for a rise.

--- a/backend/level.go
+++ b/backend/level.go
@@ -32,6 +32,7 @@
 	started   float64                  // calls that the gate started in the window
 	shed      float64                  // calls refused in the window for lack of room
 	least     int                      // shortest queue in the window
+	first     int                      // queue at the start of the window
 	waiting   int                      // queue now
 	busy      float64                  // integral of running / limit over the window, in seconds
 	seenAt    time.Time
@@ -53,6 +54,7 @@
 	openLimit   = 8                     // its bound
 	idleEnough  = 0.7                   // utilisation under which falls speed up
 	busyLeast   = 0.05                  // utilisation that is assumed at least
+	drainPart   = 0.9                   // part of its length to which a queue falls that drains by itself
 	shedNoise   = 0.01                  // part of the calls that may be shed without a rise
 )
 
@@ -95,7 +97,7 @@
 	}
 	l.offered, l.compliant = [request.Classes]float64{}, [request.Classes]float64{}
 	l.started, l.shed, l.busy = 0, 0, 0
-	l.least = l.waiting
+	l.least, l.first = l.waiting, l.waiting
 	l.at = now
 }
 
@@ -104,11 +106,14 @@
 	total := sum(&l.offered)
 	target := l.started * float64(queueWait) / float64(span)
 	utilisation := max(busyLeast, min(1, l.busy/span.Seconds()))
-	room := l.started/utilisation + queueGain*(target-float64(l.waiting))
-	pressed := standing || l.shed > shedNoise*total || float64(l.least) > max(target, 1)
+	carried := l.started / utilisation
+	room := carried + queueGain*(target-float64(l.waiting))
+	long := standing || float64(l.least) > max(target, 1)
+	drains := float64(l.waiting) < drainPart*float64(l.first)
+	pressed := l.shed > shedNoise*total || long && !drains
 	switch {
 	case total > room && (pressed || l.value > 0):
-		l.rise(now, total, max(room, 0))
+		l.rise(now, total, max(room, 0), carried)
 	case total <= room && l.value > 0 && l.shed <= shedNoise*total:
 		l.fall(now, total, room, utilisation)
 	}
@@ -116,14 +121,13 @@
 
 // damped returns the factor by which one window corrects the factor e.
 func damped(e, calls float64) float64 {
-	if e > largeError || e < 1/largeError {
-		return e
-	}
 	return math.Pow(e, levelGain*calls/(calls+noisyCalls))
 }
 
-// rise closes a part of what is open.
-func (l *level) rise(now time.Time, total, room float64) {
+// rise closes a part of what is open. More calls than the gate carries are
+// corrected at once when they are many or were shed; a long queue alone is not,
+// because it may be what is left of a burst.
+func (l *level) rise(now time.Time, total, room, carried float64) {
 	calls, kept := &l.compliant, sum(&l.compliant)
 	if kept <= room {
 		if kept < following*total {
@@ -131,7 +135,11 @@
 		}
 		calls, kept = &l.offered, total
 	}
-	factor := max(riseMost, damped(room/kept, kept))
+	factor := room / kept
+	if total < largeError*carried && l.shed <= shedNoise*total {
+		factor = damped(factor, kept)
+	}
+	factor = max(riseMost, factor)
 	if factor <= 1/largeError {
 		l.holdTill = now.Add(holdWindows * l.cfg.Window)
 	}
