request: the entry's shares follow a jump of one organisation's demand in 0.2 s

Cause: an organisation that jumped to ten times its rate counted at its old demand for about a second, in which all others were shed for it.

Change: a second average, five times as quick, is used when it exceeds the slow one by twice and ten calls.

--- a/request/share.go
+++ b/request/share.go
@@ -9,6 +9,7 @@
 // exponentially decaying count.
 type demand struct {
 	count  float64
+	quick  float64 // the same with a time constant that is jumpSpeed times shorter
 	weight float64
 	at     time.Time
 }
@@ -30,6 +31,14 @@
 	// openStep is the change of the open part that calls for a new division.
 	openStep = 0.005
 
+	// jumpSpeed is how many times faster than the average a jump is seen.
+	jumpSpeed = 5
+
+	// jumpFactor and jumpCalls tell a jump of the demand from chance: the quick
+	// average is used when it exceeds the slow one by that factor and calls.
+	jumpFactor = 2
+	jumpCalls  = 10
+
 	// forgotten is the decayed count below which an organisation is dropped.
 	forgotten = 0.01
 )
@@ -46,6 +55,7 @@
 	}
 	d.decay(now, tau)
 	d.count++
+	d.quick++
 	d.weight = max(weight, math.SmallestNonzeroFloat32)
 	if now.Sub(s.filled) >= refill {
 		s.filled = now
@@ -59,10 +69,19 @@
 func (d *demand) decay(now time.Time, tau time.Duration) {
 	if dt := now.Sub(d.at); dt > 0 {
 		d.count *= math.Exp(-float64(dt) / float64(tau))
+		d.quick *= math.Exp(-jumpSpeed * float64(dt) / float64(tau))
 		d.at = now
 	}
 }
 
+// size returns the demand as a count over the time constant.
+func (d *demand) size() float64 {
+	if q := jumpSpeed * d.quick; q > jumpFactor*d.count+jumpCalls {
+		return q
+	}
+	return d.count
+}
+
 // sweep brings all counts to now and forgets organisations without demand.
 func (s *share) sweep(now time.Time, tau time.Duration) {
 	for name, d := range s.demands {
@@ -80,7 +99,7 @@
 		s.open = open
 		s.unit = s.fill(open)
 	}
-	return min(1, s.unit*d.weight/d.count)
+	return min(1, s.unit*d.weight/d.size())
 }
 
 // fill returns the count for each unit of weight at which the demands, each
@@ -89,7 +108,7 @@
 func (s *share) fill(open float64) float64 {
 	var total, weights float64
 	for _, d := range s.demands {
-		total += d.count
+		total += d.size()
 		weights += d.weight
 	}
 	room, unit := total*open, 0.0
@@ -101,8 +120,8 @@
 		unit = next
 		room, weights = total*open, 0
 		for _, d := range s.demands {
-			if d.count <= unit*d.weight {
-				room -= d.count
+			if n := d.size(); n <= unit*d.weight {
+				room -= n
 			} else {
 				weights += d.weight
 			}
