Spread: a large content fits the links; routes are bounded

Cause: links keep 256 messages for a peer and drop the rest. A content over 6 MB, 25,000 keys or so, went in more parts than that, so that a new daemon could never have got all of them.

Change: a large delta goes in larger parts, about 100 of up to 192 KiB. Prefixes are at most 1024 bytes and methods are given once, so that no row outgrows a frame.

After: 100 messages or so, the test holds them under half of the queue and each under a frame.

--- a/config/check.go
+++ b/config/check.go
@@ -13,6 +13,7 @@
 	digestPrefix = "sha256:"
 	digestBytes  = 32
 	shareSlack   = 1e-9 // rounding of percentages
+	maxPrefix    = 1024 // bytes of a route's prefix
 )
 
 var nameForm = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
@@ -26,7 +27,7 @@
 }
 
 func validPrefix(s string) bool {
-	return strings.HasPrefix(s, "/") && !strings.Contains(s, "//") && !strings.ContainsAny(s, "?# \t")
+	return len(s) <= maxPrefix && strings.HasPrefix(s, "/") && !strings.Contains(s, "//") && !strings.ContainsAny(s, "?# \t")
 }
 
 // build checks the objects against each other and returns the configuration.
--- a/config/decode.go
+++ b/config/decode.go
@@ -172,7 +172,7 @@
 	case "digest":
 		return "sha256: and 64 hexadecimal digits, as `wisteriafold key new` prints it"
 	case "prefix":
-		return "a path that begins with / and has no //, ?, # or space"
+		return "a path of at most 1024 bytes that begins with / and has no //, ?, # or space"
 	case "oneof":
 		return "one of " + f.Param()
 	case "gt":
@@ -181,6 +181,8 @@
 		return "a value of at least " + f.Param()
 	case "lte", "max":
 		return "a value of at most " + f.Param()
+	case "unique":
+		return "each value once"
 	case "len":
 		return "exactly " + f.Param() + " values"
 	default:
--- a/config/delta.go
+++ b/config/delta.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	partBytes      = 24 << 10 // rows of one message, roughly
-	rowOverhead    = 16       // bytes of a row's framing, roughly
-	maxParts       = 2048     // of one delta
+	partBytes      = 24 << 10  // rows of one message, roughly, in a small delta
+	partBytesMost  = 192 << 10 // in a large one; leaves room in a frame
+	partsAimed     = 100       // parts that larger messages keep a large delta to
+	rowOverhead    = 16        // bytes of a row's framing, roughly
+	maxParts       = 1024      // of one delta
 	maxAssemblies  = 4
 	assemblyBusy   = 2 * time.Second // without a new part an assembly is not waited for
 	assemblyExpiry = 10 * time.Second
@@ -41,10 +43,11 @@
 		parts = append(parts, d)
 		return d
 	}
+	most := partSize(rows)
 	part, size := begin(), 0
 	for _, r := range rows {
-		n := len(r.Key) + len(r.Value) + rowOverhead
-		if size > 0 && size+n > partBytes {
+		n := r.size()
+		if size > 0 && size+n > most {
 			part, size = begin(), 0
 		}
 		size += n
@@ -57,6 +60,19 @@
 	return parts
 }
 
+// partSize returns the bytes of rows for one message. The links drop messages
+// when very many wait for one peer, so a large delta goes in larger parts.
+func partSize(rows []Row) int {
+	total := 0
+	for i := range rows {
+		total += rows[i].size()
+	}
+	return min(max(total/partsAimed, partBytes), partBytesMost)
+}
+
+// size returns the bytes that the row takes in a message, roughly.
+func (r *Row) size() int { return len(r.Key) + len(r.Value) + rowOverhead }
+
 // rowsSince returns what changed after a generation, or everything, in order.
 func (m *Spreader) rowsSince(from uint64) (rows []Row, full bool) {
 	keys, ok := m.journal.since(from)
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -95,6 +95,8 @@
 		{"route name twice", "name: deposit", "name: browse", 26, "route browse is given twice", "a.yaml:21"},
 		{"same path and method", "prefix: /records/deposit\n    methods: [POST]", "prefix: /\n    methods: [POST, GET]", 27, "both take GET /", "change the prefix"},
 		{"method", "[POST]", "[post]", 28, "methods[0]: post", "one of GET"},
+		{"method twice", "[POST]", "[POST, POST]", 28, "methods", "each value once"},
+		{"prefix too long", "/records/deposit", "/" + strings.Repeat("x", 1024), 27, "prefix", "at most 1024 bytes"},
 		{"importance", "critical", "urgent", 30, "urgent", "sheddable, normal, high or critical"},
 		{"duration", "800ms", "0ms", 18, "field deadline", "at least 1ms"},
 		{"no unit", "800ms", "800", 18, "field deadline", "as in 250ms"},
--- a/config/objects.go
+++ b/config/objects.go
@@ -73,7 +73,7 @@
 	Prefix string `yaml:"prefix" json:"prefix" validate:"required,prefix"`
 
 	// Methods are the HTTP methods that the route takes. The default is all.
-	Methods []string `yaml:"methods,omitempty" json:"methods,omitempty" validate:"dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
+	Methods []string `yaml:"methods,omitempty" json:"methods,omitempty" validate:"max=7,unique,dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
 
 	// Service is the name of the service that answers.
 	Service string `yaml:"service" json:"service" validate:"required"`
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"wisteriafold/platform"
 	"wisteriafold/platform/memory"
+	"wisteriafold/wire"
 )
 
 // inForce is the time within which a change must be in force wherever the
@@ -213,6 +215,18 @@
 	require.Empty(t, f.behind(g, nil))
 }
 
+// Links keep 256 messages for a peer, and 256 KiB in a frame.
+func TestLargeContentFitsTheLinks(t *testing.T) {
+	f := newFleet(t, 17, 1, 2)
+	f.apply(withKeys(marked(1), 40_000))
+	f.run(5 * time.Second)
+	parts := f.daemons[f.names[0]].deltas(0, false)
+	require.Less(t, len(parts), 256/2)
+	for _, p := range parts {
+		require.Less(t, proto.Size(p), wire.MaxFrame)
+	}
+}
+
 func TestDaemonThatIsOnNoRosterAsksItsSeeds(t *testing.T) {
 	f := newFleet(t, 4, 1, 3)
 	g := f.apply(marked(1))
