--- a/request/outcome.go
+++ b/request/outcome.go
@@ -49,12 +49,14 @@
 	ReasonDraining      Reason = "draining"        // the backend server is leaving
 	ReasonBackendShed   Reason = "backend-shed"    // the backend server declared that it did not run it
 	ReasonNoEndpoint    Reason = "no-endpoint"     // no endpoint of the service is known or reachable
+	ReasonUnreachable   Reason = "unreachable"     // the daemon beside the endpoint takes no connection
 	ReasonCancelled     Reason = "cancelled"       // the caller went away
 	ReasonRetryBudget   Reason = "retry-budget"    // no extra attempt was left
 	ReasonBroken        Reason = "broken"          // the connection broke after sending
 	ReasonClaimHeld     Reason = "claim-held"      // another run of the same idempotency key is in progress
 	ReasonClaimUnknown  Reason = "claim-unknown"   // an earlier run of the same idempotency key has no recorded answer
 	ReasonStoreDown     Reason = "store-down"      // the claim cannot be written
+	ReasonKeyReused     Reason = "key-reused"      // the idempotency key belongs to another request
 	ReasonBadToken      Reason = "bad-call-token"  // the call token is forged or its call has ended
 	ReasonOldGeneration Reason = "old-generation"  // the sender acts on a configuration that is no longer in force
 	ReasonShutdown      Reason = "shutting-down"   // this daemon is stopping
--- a/service/pick.go
+++ b/service/pick.go
@@ -8,9 +8,11 @@
 	"wisteriafold/request"
 )
 
-// answerBytes is the size charged to a link for the answer and the framing of
-// a call whose answer is not yet known.
-const answerBytes = 4 << 10
+// Sizes charged to a link besides the body of the call.
+const (
+	headBytes   = 512     // head and framing, each way
+	answerBytes = 4 << 10 // body of an answer while none has been seen
+)
 
 // candidate is the cheapest endpoint drawn in one locality.
 type candidate struct {
@@ -110,7 +112,7 @@
 		s := w.usable[i]
 		n--
 		w.usable[i] = w.usable[n]
-		c := candidate{state: s, cost: s.cost(w.now, &w.picker.config)}
+		c := candidate{state: s, cost: w.cost(s)}
 		if best.state == nil {
 			best = c
 			continue
@@ -124,6 +126,11 @@
 	return best
 }
 
+// cost returns the expected time of one attempt at s in ns.
+func (w *pick) cost(s *state) float64 {
+	return s.cost(w.now, &w.picker.config, w.picker.usual.load())
+}
+
 // skip returns the ground on which this call cannot use s.
 func (w *pick) skip(s *state, nearer bool) Skip {
 	if slices.Contains(w.tried, s.endpoint.Peer) {
@@ -184,8 +191,9 @@
 	if c.state.locality != OtherRegion || w.picker.link == nil {
 		return true
 	}
-	n := max(w.call.BodyBytes, 0) + answerBytes
-	if w.picker.link.Take(c.state.endpoint.Region, n) {
+	out := max(w.call.BodyBytes, 0) + headBytes
+	back := w.picker.answer.Load() + headBytes
+	if w.picker.link.Take(c.state.endpoint.Region, out, back) {
 		return true
 	}
 	w.decision.pass(c.state.endpoint.Peer, SkipLinkBudget, time.Duration(c.cost))
@@ -213,7 +221,7 @@
 	if best == nil {
 		return candidate{}
 	}
-	c := candidate{state: best, cost: best.cost(w.now, &w.picker.config)}
+	c := candidate{state: best, cost: w.cost(best)}
 	if !w.linkTakes(c) {
 		return candidate{}
 	}
--- a/service/picker.go
+++ b/service/picker.go
@@ -15,6 +15,8 @@
 	seed   uint64
 	start  time.Time
 	link   Link
+	answer atomic.Int64 // smoothed size of an answer's body, bytes
+	usual  atomicFloat  // smoothed time of answered attempts at any endpoint less latency, ns
 
 	set  sync.Mutex // serialises SetEndpoints
 	view atomic.Pointer[view]
@@ -31,6 +33,8 @@
 func NewPicker(start time.Time, c Config, self Location, seed uint64) *Picker {
 	p := &Picker{config: c, self: self, seed: seed, start: start}
 	p.view.Store(&view{})
+	p.answer.Store(answerBytes)
+	p.usual.store(float64(c.InitialService))
 	return p
 }
 
@@ -82,8 +86,7 @@
 	defer from.mu.Unlock()
 	s.failures, s.lost, s.ejections = from.failures, from.lost, from.ejections
 	s.observedAt = from.observedAt
-	s.service.store(from.service.load())
-	s.peak.store(from.peak.load())
+	s.took.store(from.took.load())
 	s.loss.store(from.loss.load())
 	s.shownAt.Store(from.shownAt.Load())
 	s.passUntil.Store(from.passUntil.Load())
@@ -125,10 +128,29 @@
 	if s.inFlight.Add(-1) < 0 {
 		s.inFlight.Add(1) // begun before the endpoint was replaced
 	}
+	p.learn(o, s.locality)
 	t := p.since(now)
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
 }
 
+// usualWeight is the part by which one answer moves the service's averages.
+const usualWeight = 1.0 / 32
+
+// learn folds one answer into the averages of the service. An update that is
+// lost to a concurrent one does no harm.
+func (p *Picker) learn(o Observation, l Locality) {
+	if o.Result != Succeeded {
+		return
+	}
+	if o.Bytes > 0 {
+		old := p.answer.Load()
+		p.answer.Store(old + int64(float64(o.Bytes-old)*usualWeight))
+	}
+	took := max(float64(o.Took-p.config.Latency[l]), 1)
+	old := p.usual.load()
+	p.usual.store(old + (took-old)*usualWeight)
+}
+
 // since returns the time on the Picker's own clock, ns.
 func (p *Picker) since(now time.Time) int64 { return int64(now.Sub(p.start)) }
 
--- a/service/state.go
+++ b/service/state.go
@@ -33,8 +33,7 @@
 	ejections  int   // consecutive ejections, for the doubling
 	observedAt int64 // time of the last observation, ns
 
-	service    atomicFloat  // smoothed time of answered attempts less latency, ns
-	peak       atomicFloat  // like service, but follows a rise at once, ns
+	took       atomicFloat  // smoothed time of answered attempts less network latency, ns
 	loss       atomicFloat  // smoothed ratio of failed and refused attempts
 	shownAt    atomic.Int64 // time of the last observation, ns
 	passUntil  atomic.Int64 // not used before this time, ns
@@ -80,22 +79,32 @@
 	return max(here, reported)
 }
 
-// cost returns the expected time of one attempt in ns, latency included.
-func (s *state) cost(now int64, c *Config) float64 {
-	r := s.freshReport(now, c.ReportTTL)
-	limit := s.limit(r)
-	fade := decay(now-s.shownAt.Load(), c.Smoothing)
-	served := s.service.load()
-	if served == 0 && r != nil {
-		served = float64(r.Service)
+// cost returns the expected time until an attempt is answered in ns, latency
+// included. typical is the usual time of an attempt at the service.
+//
+// Endpoints whose calls take about as long as usual are told apart by their
+// load alone, because the time of calls that call further services says little
+// about the endpoint.
+func (s *state) cost(now int64, c *Config, typical float64) float64 {
+	fade := s.fade(now, c)
+	served := typical
+	if took := s.took.load(); took > c.SlowFactor*typical {
+		served += (took - typical) * fade
 	}
-	if served == 0 {
-		served = float64(c.InitialService)
+	r := s.freshReport(now, c.ReportTTL)
+	wait := served * (1 + s.outstanding(r)/s.limit(r))
+	loss := min(s.loss.load()*fade, c.LossCap)
+	return float64(c.Latency[s.locality]) + wait/(1-loss)
+}
+
+// fade returns the weight of what calls have shown. It falls while the
+// endpoint is not used, so that one which was slow or failing is tried again.
+// It does not fall while an attempt is on the way: that one is the trial.
+func (s *state) fade(now int64, c *Config) float64 {
+	if s.inFlight.Load() > 0 {
+		return 1
 	}
-	predicted := served * (1 + s.outstanding(r)/limit)
-	shown := s.peak.load() * fade
-	wait := max(predicted, shown)
-	return float64(c.Latency[s.locality]) + wait + s.loss.load()*fade*float64(c.AttemptPrice)
+	return decay(now-s.shownAt.Load(), c.Smoothing)
 }
 
 // decay returns the weight that remains after an age of ns.
