link: Close reports only what it cut; members: leaving asks the store sooner

The context had ended before Close began, no stream was left, and Close returned the context's error all the same; and a daemon that leaves together with its relay asked that relay for 4 s before it wrote to the store itself. Change: Close returns an error only when a stream was in use; a leaving daemon asks a relay once and then writes the row itself. Conclusion: a test with idle and busy sessions and an ended context.

--- a/datacentre/config.go
+++ b/datacentre/config.go
@@ -121,16 +121,17 @@
 }
 
 const (
-	registrars     = 2 // registrars of a service in a data centre
-	candidates     = 6 // members in rendezvous order that may stand in for them
-	pauseAfter     = time.Second
-	expelledKept   = 256 // addresses of the list of expelled ones in a row
-	pastKept       = 4   // superseded incarnations remembered for an address
-	changesKept    = 256 // changes of one service that a registrar can send as deltas
-	rosterLogKept  = 64  // changes of one roster that a relay can send as deltas
-	idleAfter      = time.Minute
-	storePatience  = 15 * time.Second // age of confirmation at which relays elsewhere are asked
-	joinAsksToPeer = 3                // requests to a relay before writing to the store itself
-	addressesSent  = 4000             // most addresses in one answer to a pull
-	ranksKept      = 1024             // rankings that are remembered
+	registrars      = 2 // registrars of a service in a data centre
+	candidates      = 6 // members in rendezvous order that may stand in for them
+	pauseAfter      = time.Second
+	expelledKept    = 256 // addresses of the list of expelled ones in a row
+	pastKept        = 4   // superseded incarnations remembered for an address
+	changesKept     = 256 // changes of one service that a registrar can send as deltas
+	rosterLogKept   = 64  // changes of one roster that a relay can send as deltas
+	idleAfter       = time.Minute
+	storePatience   = 15 * time.Second // age of confirmation at which relays elsewhere are asked
+	joinAsksToPeer  = 3                // requests to a relay to be added, before writing to the store itself
+	leaveAsksToPeer = 1                // requests to a relay to be taken off, before writing to the store itself
+	addressesSent   = 4000             // most addresses in one answer to a pull
+	ranksKept       = 1024             // rankings that are remembered
 )
--- a/datacentre/membership.go
+++ b/datacentre/membership.go
@@ -31,9 +31,13 @@
 	if r.listed() != r.leaving || now.Before(r.joinAt) {
 		return
 	}
-	r.joinAt = now.Add(time.Second + time.Duration(r.d.rng.Float64()*float64(r.d.cfg.JoinJitter)))
+	wait, asks := time.Second, joinAsksToPeer
+	if r.leaving { // the relay may be leaving too, and the process waits
+		wait, asks = 2*r.d.cfg.AskBatch, leaveAsksToPeer
+	}
+	r.joinAt = now.Add(wait + time.Duration(r.d.rng.Float64()*float64(r.d.cfg.JoinJitter)))
 	live := r.d.aliveAmong(now, ask)
-	if len(live) == 0 || r.joinAsks >= joinAsksToPeer {
+	if len(live) == 0 || r.joinAsks >= asks {
 		r.queue(now, r.d.cfg.Self, r.leaving)
 		r.joinAsks = 0
 		return
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -370,6 +370,30 @@
 	})
 }
 
+func TestCloseSaysWhetherItCut(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		held := &echo{hold: make(chan struct{})}
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", held, nil)
+		c, d := n.add(t, "c:1", &echo{}, nil), n.add(t, "d:1", &echo{}, nil)
+		_, _, err := call(t.Context(), c, "d:1", "x")
+		require.NoError(t, err)
+		inFlight := make(chan error, 1)
+		go func() {
+			_, _, err := call(t.Context(), a, "b:1", "x")
+			inFlight <- err
+		}()
+		synctest.Wait()
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.NoError(t, c.Close(ended), "an idle session cuts nothing")
+		assert.ErrorIs(t, b.Close(ended), context.Canceled)
+		var broken *BrokenError
+		assert.ErrorAs(t, <-inFlight, &broken)
+		closeAll(t, a, d)
+	})
+}
+
 func TestRefusedCallsSayNotRun(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		n := newNetwork()
--- a/link/links.go
+++ b/link/links.go
@@ -269,8 +269,9 @@
 
 // Close shuts down: incoming calls are refused as "not run", no stream can be
 // opened, running streams finish, and sessions are closed by agreement with
-// their peers. When ctx ends first, what is left is cut and ctx's error
-// returned. No goroutine is left when it returns.
+// their peers. When ctx ends first, sessions are closed without agreement, and
+// ctx's error is returned when that cut a stream. No goroutine is left when it
+// returns.
 func (l *Links) Close(ctx context.Context) error {
 	l.Refuse()
 	l.life.Lock()
@@ -305,9 +306,19 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			return cutError(ctx, left)
+		}
+	}
+}
+
+// cutError returns ctx's error when closing the sessions now cuts a stream.
+func cutError(ctx context.Context, left []*session) error {
+	for _, s := range left {
+		if s.streams.Load() > 0 {
 			return ctx.Err()
 		}
 	}
+	return nil
 }
 
 // sessions returns all sessions.
