Members: leaving endpoints tell the registrars elsewhere themselves; old views go

Cause: with a pull interval of 10 s, which keeps relays under their budget, two schedules of the churn test failed. A view of a registrar that is none any more stayed for up to 120 s when it was not asked again, and a withdrawal reached another data centre late when both registrars here had just restarted. Change: a view goes once a present registrar is known to hold everything; an endpoint that leaves announces it to the registrars of all data centres. Links: a frame waits 3 s for room, not 10, and 256 handshakes may be under way.

--- a/datacentre/announce.go
+++ b/datacentre/announce.go
@@ -1,6 +1,7 @@
 package datacentre
 
 import (
+	"slices"
 	"time"
 
 	"wisteriafold/service"
@@ -81,13 +82,17 @@
 		return
 	}
 	targets := d.choose(now, d.rank(d.cfg.DataCentre, registrarRole(a.state.Service)), registrars)
-	for _, to := range targets {
+	near := len(targets)
+	if a.state.Draining {
+		targets = append(slices.Clone(targets), d.registrarsElsewhere(now, a.state.Service)...)
+	}
+	for i, to := range targets {
 		sent := a.acked[to]
 		if sent == nil {
 			sent = &announcement{interval: d.cfg.HeartbeatEvery}
 			a.acked[to] = sent
 		}
-		if now.Before(sent.next) {
+		if now.Before(sent.next) || (i >= near && sent.revision == a.state.Revision) {
 			continue
 		}
 		m := &wire.Announce{Service: a.state.Service, Incarnation: a.state.Incarnation, Revision: a.state.Revision}
@@ -104,6 +109,19 @@
 	}
 }
 
+// registrarsElsewhere returns the registrars of the service in all other data
+// centres. They learn of endpoints from the registrars here, but of one that
+// leaves also from itself, so that it does not matter who has just restarted.
+func (d *Directory) registrarsElsewhere(now time.Time, service string) []string {
+	var out []string
+	for _, name := range d.dataCentres() {
+		if name != d.cfg.DataCentre {
+			out = append(out, d.choose(now, d.rank(name, registrarRole(service)), registrars)...)
+		}
+	}
+	return out
+}
+
 // retryWait is the time to the next try of an unacknowledged message.
 func (d *Directory) retryWait(now time.Time, to string) time.Duration {
 	if d.alive(now, to) {
--- a/datacentre/config.go
+++ b/datacentre/config.go
@@ -93,7 +93,7 @@
 // Self, DataCentre, Region, Seeds and FarSeeds are left to the caller.
 func Defaults() Config {
 	return Config{
-		PullEvery:           5 * time.Second,
+		PullEvery:           10 * time.Second,
 		RelayGroup:          64,
 		ReadEvery:           2 * time.Second,
 		AskBatch:            300 * time.Millisecond,
--- a/datacentre/registry.go
+++ b/datacentre/registry.go
@@ -147,6 +147,10 @@
 
 // receiveAnnounce takes an announcement or heartbeat of an endpoint.
 func (d *Directory) receiveAnnounce(now time.Time, from string, m *wire.Announce) {
+	if s := m.Endpoint; s != nil && s.DataCentre != d.cfg.DataCentre {
+		d.receiveWithdrawal(now, from, m)
+		return
+	}
 	r := d.registry(now, m.Service)
 	e := r.entries[from]
 	if s := m.Endpoint; s != nil && s.Peer == from && s.Service == m.Service {
@@ -165,6 +169,19 @@
 	}
 }
 
+// receiveWithdrawal takes the word of an endpoint of another data centre that it
+// leaves.
+func (d *Directory) receiveWithdrawal(now time.Time, from string, m *wire.Announce) {
+	s := m.Endpoint
+	if r := d.services[m.Service]; r != nil && s.Draining && s.Peer == from && r.entries[from] != nil {
+		r.put(s, true)
+		d.push(now, r)
+	}
+	ack := &wire.AnnounceAck{Service: m.Service, Incarnation: m.Incarnation, Revision: m.Revision}
+	ack.IntervalMs = uint32(d.cfg.HeartbeatEvery.Milliseconds())
+	d.send(from, &wire.Member{Kind: &wire.Member_AnnounceAck{AnnounceAck: ack}})
+}
+
 // spread returns the interval at which n senders send at most perSecond in
 // all, between least and most.
 func spread(n int, perSecond float64, least, most time.Duration) time.Duration {
--- a/datacentre/watch.go
+++ b/datacentre/watch.go
@@ -80,8 +80,7 @@
 		return
 	}
 	for _, to := range sortedNames(w.views) {
-		m := &wire.Subscribe{Service: key.service, Cancel: true}
-		d.send(to, &wire.Member{Kind: &wire.Member_Subscribe{Subscribe: m}})
+		d.cancel(to, key.service)
 	}
 	delete(d.watches, key)
 	d.dirty = true
@@ -113,14 +112,15 @@
 			}
 			continue
 		}
-		d.renewViews(now, w)
-		d.dropViews(now, w)
+		targets := d.choose(now, d.rank(key.dataCentre, registrarRole(key.service)), registrars)
+		d.renewViews(now, w, targets)
+		d.dropViews(now, w, targets)
 	}
 }
 
 // renewViews subscribes to the registrars that this watch needs.
-func (d *Directory) renewViews(now time.Time, w *watch) {
-	for _, to := range d.choose(now, d.rank(w.key.dataCentre, registrarRole(w.key.service)), registrars) {
+func (d *Directory) renewViews(now time.Time, w *watch, targets []string) {
+	for _, to := range targets {
 		v := w.views[to]
 		if v == nil {
 			v = &view{states: make(map[string]*wire.EndpointState), heardAt: now, renew: d.cfg.RenewEvery}
@@ -195,26 +195,35 @@
 	}
 }
 
-// dropViews forgets registrars that have not answered for long, once another
-// one is known to hold everything.
-func (d *Directory) dropViews(now time.Time, w *watch) {
-	whole, fresh := false, false
-	for from, v := range w.views {
-		ok := d.fresh(now, from, v)
-		fresh = fresh || ok
+// dropViews forgets registrars that do not answer or are registrars no more,
+// once one of the present ones is known to hold everything.
+func (d *Directory) dropViews(now time.Time, w *watch, targets []string) {
+	whole, answers := false, false
+	for _, from := range targets {
+		v := w.views[from]
+		ok := v != nil && d.fresh(now, from, v)
+		answers = answers || ok
 		whole = whole || (ok && v.epoch != 0 && !v.warming)
 	}
-	if fresh {
+	if answers {
 		w.lostAt = time.Time{}
 	} else if w.lostAt.IsZero() {
 		w.lostAt = now
 	}
 	lost := w.elsewhere(d) && !w.lostAt.IsZero() && now.Sub(w.lostAt) > d.cfg.RemoteExpiry
+	if !whole && !lost {
+		return
+	}
 	dropped := false
-	for from, v := range w.views {
-		if !d.fresh(now, from, v) && (whole || lost) {
-			dropped = dropped || len(v.states) > 0
-			delete(w.views, from)
+	for _, from := range sortedNames(w.views) {
+		v := w.views[from]
+		if slices.Contains(targets, from) && d.fresh(now, from, v) {
+			continue
+		}
+		dropped = dropped || len(v.states) > 0
+		delete(w.views, from)
+		if !slices.Contains(targets, from) {
+			d.cancel(from, w.key.service)
 		}
 	}
 	if dropped {
@@ -222,6 +231,12 @@
 	}
 }
 
+// cancel ends a subscription.
+func (d *Directory) cancel(registrar, service string) {
+	m := &wire.Subscribe{Service: service, Cancel: true}
+	d.send(registrar, &wire.Member{Kind: &wire.Member_Subscribe{Subscribe: m}})
+}
+
 // merge works out what is in force after a change: of each endpoint the newest
 // state that any registrar holds. An endpoint that only a warming registrar's
 // list lacks is kept.
--- a/link/config.go
+++ b/link/config.go
@@ -83,11 +83,11 @@
 		PingTimeout:   time.Second,
 		DeadTimeout:   10 * time.Second,
 		IdleTimeout:   30 * time.Second,
-		WriteTimeout:  10 * time.Second,
+		WriteTimeout:  3 * time.Second,
 		Tick:          100 * time.Millisecond,
 		MaxStreams:    4096,
 		MaxSessions:   1024,
-		MaxHandshakes: 64,
+		MaxHandshakes: 256,
 		ControlQueue:  256,
 	}
 }
