--- a/link/admission_test.go
+++ b/link/admission_test.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/url"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +71,10 @@
 // listen starts links on a loopback port; the certificate is made for the
 // address that it gets.
 func listen(t *testing.T, settings func(address string) *tls.Config, change func(*Config)) (*Links, string) {
+	return listenWith(t, &echo{}, settings, change)
+}
+
+func listenWith(t *testing.T, h Handler, settings func(address string) *tls.Config, change func(*Config)) (*Links, string) {
 	emptyPools()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -82,7 +88,7 @@
 	if change != nil {
 		change(&cfg)
 	}
-	l, err := New(cfg, &echo{})
+	l, err := New(cfg, h)
 	require.NoError(t, err)
 	served := make(chan error, 1)
 	go func() { served <- l.Serve(ln) }()
@@ -178,3 +184,86 @@
 	require.NoError(t, err)
 	assert.Equal(t, "still here", got)
 }
+
+// swallowing forwards TCP connections to an address, and can lose all that the
+// present ones carry without closing them.
+func swallowing(t *testing.T, to string) (dial func(context.Context, string) (net.Conn, error), swallow func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var generation atomic.Int64
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	forward := func(from, to net.Conn, born int64) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := from.Read(buf)
+			silent := generation.Load() != born
+			if err != nil && !silent {
+				_ = to.Close()
+			}
+			if err != nil {
+				return
+			}
+			if !silent {
+				_, _ = to.Write(buf[:n])
+			}
+		}
+	}
+	wg.Go(func() {
+		for {
+			a, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = a.Close()
+				continue
+			}
+			mu.Lock()
+			open = append(open, a, b)
+			mu.Unlock()
+			born := generation.Load()
+			wg.Go(func() { forward(a, b, born) })
+			wg.Go(func() { forward(b, a, born) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		mu.Lock()
+		for _, c := range open {
+			_ = c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return func(ctx context.Context, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", ln.Addr().String())
+	}, func() { generation.Add(1) }
+}
+
+// TestSilentTCPConnectionIsReplaced is about real sockets, whose buffers take
+// what is written: no wait is bounded here but by a failsafe.
+func TestSilentTCPConnectionIsReplaced(t *testing.T) {
+	held := &echo{hold: make(chan struct{})}
+	_, server := listenWith(t, held, nil, nil)
+	dial, swallow := swallowing(t, server)
+	l, _ := listen(t, nil, func(c *Config) { c.Dial = dial })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	s, err := l.Open(ctx, server)
+	require.NoError(t, err)
+	defer s.Close()
+	require.NoError(t, s.Write(small("x")))
+	swallow()
+	_, err = s.Read()
+	var broken *BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.ErrorIs(t, err, ErrSilent)
+	assert.True(t, IsTransport(err))
+	close(held.hold)
+	_, got, err := call(ctx, l, server, "fresh")
+	require.NoError(t, err)
+	assert.Equal(t, "fresh", got)
+}
