bench: the real path and idle control beside their bounds

Cause: added latency and idle control had no figure of their own. Change: try.Measure runs the deployment without other traffic; the registry has the path and the configuration experiments.

--- a/bench/measure.go
+++ b/bench/measure.go
@@ -137,6 +137,8 @@
 		{Name: "cold-start", Run: coldStart},
 		{Name: "liar", Run: liar},
 		{Name: "region-loss", Run: regionLoss},
+		{Name: "configuration", Run: Configuration},
+		{Name: "path", Run: path},
 	}
 }
 
--- a/instance/control.go
+++ b/instance/control.go
@@ -69,6 +69,7 @@
 		Epoch:      d.epoch,
 		Rand:       rng(),
 		Outbox:     loanOutbox{out},
+		MaxWait:    d.set.Limits.EntryWait,
 	})
 	d.view.Store(newView(config.EmptySnapshot(), nil))
 	return c
--- a/instance/status.go
+++ b/instance/status.go
@@ -112,3 +112,17 @@
 	slices.SortFunc(s.Services, func(a, b ServiceStatus) int { return cmp.Compare(a.Service, b.Service) })
 	return s
 }
+
+// ControlCost is what control has cost since the daemon started.
+type ControlCost struct {
+	Busy time.Duration // the control goroutine worked
+	Sent uint64        // bytes written to links; calls to other daemons are in it
+}
+
+// ControlCost returns the totals so far.
+func (d *Daemon) ControlCost() ControlCost {
+	return ControlCost{
+		Busy: time.Duration(d.stats.control.Value()),
+		Sent: d.links.Stats().BytesOut,
+	}
+}
