backend: standing overload by an unbroken queue, arrival order inside an organisation

And service in the order of the tree hash let the low hashes of trees with work spent wait until their deadline had passed.

Change: overload stands when the queue has not been empty for an interval. Inside an organisation calls run in the order of arrival, newest first for new trees under standing overload; the tree hash decides who gives way when the queue is full.

--- a/backend/core.go
+++ b/backend/core.go
@@ -16,7 +16,7 @@
 	cfg      Config
 	limiter  *Limiter
 	queue    queue
-	sojourn  sojourn
+	overload overload
 	level    level
 	running  int
 	draining bool
@@ -58,10 +58,10 @@
 func NewCore(cfg Config) *Core {
 	cfg = cfg.withDefaults()
 	return &Core{
-		cfg:     cfg,
-		limiter: NewLimiter(cfg),
-		sojourn: sojourn{cfg: cfg},
-		level:   level{cfg: cfg},
+		cfg:      cfg,
+		limiter:  NewLimiter(cfg),
+		overload: overload{cfg: cfg},
+		level:    level{cfg: cfg},
 	}
 }
 
@@ -95,10 +95,6 @@
 // enqueue lets t wait, and refuses the least important call when that is one
 // too many.
 func (c *Core) enqueue(now time.Time, t *Ticket) {
-	if c.sojourn.standing && isNewTrees(t.band) && t.priority < c.Level() && c.outOfTurn(t) {
-		c.noRoom(t, errPressed)
-		return
-	}
 	c.queue.push(t)
 	c.dispatch(now)
 	if c.queue.len > c.cfg.Queue {
@@ -108,13 +104,6 @@
 	}
 }
 
-// outOfTurn reports whether the organisation of t already has a call waiting
-// in its band, so that refusing t takes no turn away from it.
-func (c *Core) outOfTurn(t *Ticket) bool {
-	f := c.queue.bands[t.band].flows[t.Call.Organisation]
-	return f != nil && len(f.tickets) > 0
-}
-
 // Finish takes in the end of a call that was started.
 func (c *Core) Finish(now time.Time, t *Ticket, r Result) []Event {
 	c.begin(now)
@@ -225,7 +214,7 @@
 func (c *Core) Level() request.Priority { return request.Priority(c.level.value) }
 
 // Standing reports whether the queue shows standing overload.
-func (c *Core) Standing() bool { return c.sojourn.standing }
+func (c *Core) Standing() bool { return c.overload.standing }
 
 // Counts returns the totals since the start.
 func (c *Core) Counts() Counts { return c.counts }
@@ -234,9 +223,9 @@
 func (c *Core) begin(now time.Time) {
 	c.events = c.events[:0]
 	c.level.load(now, c.running, c.Limit(), c.queue.len)
-	c.sojourn.advance(now, c.queue.len)
-	c.queue.setNewestFirst(c.sojourn.standing)
-	c.level.advance(now, c.sojourn.standing)
+	c.overload.advance(now, c.queue.len)
+	c.queue.setNewestFirst(c.overload.standing)
+	c.level.advance(now)
 	if c.queue.len > 0 && now.Sub(c.swept) >= sweepEvery {
 		c.swept = now
 		c.sweep(now)
@@ -274,8 +263,8 @@
 // patience is the longest wait of t. Under standing overload a new tree waits
 // no longer than the sojourn target.
 func (c *Core) patience(t *Ticket) time.Duration {
-	if c.sojourn.standing && isNewTrees(t.band) {
-		return c.cfg.Interval + c.sojourn.target
+	if c.overload.standing && isNewTrees(t.band) {
+		return c.cfg.Interval + c.overload.target(c.limiter.ServiceTime())
 	}
 	return c.cfg.MaxWait
 }
@@ -314,8 +303,6 @@
 	c.running++
 	c.counts.Started++
 	c.level.started++
-	c.sojourn.sample(t.wait())
-	c.sojourn.aim(c.limiter.ServiceTime())
 	c.events = append(c.events, Event{Ticket: t})
 }
 
--- a/backend/doc.go
+++ b/backend/doc.go
@@ -19,17 +19,19 @@
 // only while calls have shown nothing yet or agree with them.
 //
 // Who waits? The queue is bounded. A call that is more important than the
-// least important one waiting takes its place. A call that cannot be answered
-// before its deadline, judged by the observed service time, is refused before
-// it runs.
+// least important one waiting takes its place; among equals the organisation
+// with the longest backlog for its weight gives way, with its tree of the lowest
+// hash. The hash is the same at every gate, so gates that are full drop the
+// same trees. A call that cannot be answered before its deadline, judged by
+// the observed service time, is refused before it runs.
 //
 // Who is next? Importance decides first. Inside a class, calls of trees for
 // which a backend server has already worked go before new trees, because
 // refusing them wastes that work. Then organisations take turns by contract
 // weight (start-time fair queueing), so that none starves in its class. Inside
-// one organisation the tree hash decides, which is the same at every gate.
-// Under standing overload, found by the sojourn time as in CoDel, new trees are
-// taken newest first: the oldest have the least of their deadline left.
+// one organisation calls run in the order of arrival. Under standing overload
+// (the queue has not been empty for a whole interval) new trees are taken newest
+// first and wait only briefly: the oldest have the least of their deadline left.
 //
 // What do callers learn? The gate reports an admission level, a threshold on
 // priorities. While calls are shed it rises to where the demand above it is
--- a/backend/level.go
+++ b/backend/level.go
@@ -68,9 +68,8 @@
 	}
 }
 
-// advance closes the windows that have ended by now. standing says that the
-// queue shows standing overload.
-func (l *level) advance(now time.Time, standing bool) {
+// advance closes the window when it has ended by now.
+func (l *level) advance(now time.Time) {
 	if l.at.IsZero() {
 		l.at = now
 		return
@@ -85,7 +84,7 @@
 	}
 	utilisation := min(1, l.busy/span.Seconds())
 	switch {
-	case l.shed > shedNoise*total || standing:
+	case l.shed > shedNoise*total:
 		l.rise(now, total)
 	case l.short && l.value > 0 && !now.Before(l.holdTill):
 		l.fall(utilisation, span)
--- a/backend/queue.go
+++ b/backend/queue.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"slices"
 
 	"wisteriafold/request"
@@ -31,7 +32,7 @@
 	weight       float64
 	start        float64   // virtual start time of its next call
 	finish       float64   // virtual finish time of its last call
-	tickets      []*Ticket // worst first, best last
+	tickets      []*Ticket // in the order of arrival
 	pos          int       // index in band.active
 }
 
@@ -51,28 +52,6 @@
 	seq   uint64
 }
 
-// compare orders two tickets of one flow, the better one greater.
-func (b *band) compare(x, y *Ticket) int {
-	if b.newest {
-		return order(x.seq, y.seq)
-	}
-	if x.priority != y.priority {
-		return order(uint64(x.priority), uint64(y.priority))
-	}
-	return order(y.seq, x.seq)
-}
-
-// order is cmp.Compare for the one type that is needed here.
-func order(x, y uint64) int {
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	}
-	return 0
-}
-
 // flowOf returns the flow that t belongs to, made when there is none.
 func (b *band) flowOf(t *Ticket) *flow {
 	f := b.flows[t.Call.Organisation]
@@ -130,8 +109,7 @@
 		f.pos = len(b.active)
 		b.active = append(b.active, f)
 	}
-	i, _ := slices.BinarySearchFunc(f.tickets, t, b.compare)
-	f.tickets = slices.Insert(f.tickets, i, t)
+	f.tickets = append(f.tickets, t)
 	q.len++
 }
 
@@ -150,7 +128,7 @@
 func (b *band) best() *Ticket {
 	var head *Ticket
 	for _, f := range b.active {
-		t := f.tickets[len(f.tickets)-1]
+		t := b.head(f)
 		if head == nil || f.start < head.flow.start || f.start == head.flow.start && t.priority > head.priority {
 			head = t
 		}
@@ -158,34 +136,65 @@
 	return head
 }
 
+// head returns the ticket of f that is next.
+func (b *band) head(f *flow) *Ticket {
+	if b.newest {
+		return f.tickets[len(f.tickets)-1]
+	}
+	return f.tickets[0]
+}
+
+// setNewestFirst chooses the order of new trees inside a flow.
+func (q *queue) setNewestFirst(on bool) {
+	for i := range q.bands {
+		q.bands[i].newest = on && isNewTrees(i)
+	}
+}
+
 // worst returns the ticket that goes first when the queue is full: in the
-// lowest band, of the organisation with the longest backlog for its weight.
+// lowest band, of the organisation with the longest backlog for its weight, the
+// tree of the lowest priority. That is the same tree at every gate.
 func (q *queue) worst() *Ticket {
 	for i := range q.bands {
 		if b := &q.bands[i]; len(b.active) > 0 {
-			return b.worst()
+			return b.longest().lowest()
 		}
 	}
 	return nil
 }
 
-func (b *band) worst() *Ticket {
+// longest returns the flow with the longest backlog for its weight.
+func (b *band) longest() *flow {
 	var longest *flow
 	var most float64
 	for _, f := range b.active {
 		backlog := float64(len(f.tickets)) / f.weight
-		if longest == nil || backlog > most || backlog == most && f.tickets[0].priority < longest.tickets[0].priority {
+		if longest == nil || backlog > most {
 			longest, most = f, backlog
 		}
 	}
-	return longest.tickets[0]
+	return longest
+}
+
+// lowest returns the ticket of the lowest priority, the newest of several.
+func (f *flow) lowest() *Ticket {
+	low := f.tickets[0]
+	for _, t := range f.tickets {
+		if t.priority <= low.priority {
+			low = t
+		}
+	}
+	return low
 }
 
+// bySeq finds a ticket by its place in the order of arrival.
+func bySeq(t *Ticket, seq uint64) int { return cmp.Compare(t.seq, seq) }
+
 // remove takes t out.
 func (q *queue) remove(t *Ticket) {
 	b := &q.bands[t.band]
 	f := t.flow
-	i, ok := slices.BinarySearchFunc(f.tickets, t, b.compare)
+	i, ok := slices.BinarySearchFunc(f.tickets, t.seq, bySeq)
 	if !ok {
 		panic("backend: ticket is not in the flow that it names")
 	}
@@ -213,20 +222,6 @@
 	return t
 }
 
-// setNewestFirst chooses the order of new trees inside a flow.
-func (q *queue) setNewestFirst(on bool) {
-	for i := range q.bands {
-		b := &q.bands[i]
-		if b.newest == on || !isNewTrees(i) {
-			continue
-		}
-		b.newest = on
-		for _, f := range b.active {
-			slices.SortFunc(f.tickets, b.compare)
-		}
-	}
-}
-
 // each calls fn for every waiting ticket. fn must not change the queue.
 func (q *queue) each(fn func(*Ticket)) {
 	for i := range q.bands {
--- a/backend/refusals.go
+++ b/backend/refusals.go
@@ -27,6 +27,4 @@
 		"try another endpoint: this backend server is leaving")
 	errCancelled = refusal(request.ReasonCancelled, 0,
 		"send the request again if the answer is still wanted: its caller went away while it waited")
-	errPressed = refusal(request.ReasonQueueFull, retrySoon,
-		"try later: the call is below the admission level of the backend server")
 )
