Spread: a damaged delta no longer causes full reads for good

Cause: after a delta that did not fit its digest a daemon asked for everything until it got something newer. Relays read the whole table twice a second meanwhile, which could be hours.

Change: seeing all of the generation in force ends it. The last error goes with the next read that succeeds.

Conclusion: the test of damaged deltas now asks that it ends within 5 s; it failed before.

--- a/config/delta.go
+++ b/config/delta.go
@@ -175,6 +175,7 @@
 		m.forward(d)
 	}
 	if d.GetGeneration() <= m.generation() {
+		m.full = m.full && !d.GetFull()
 		return
 	}
 	m.withdraw(d.GetGeneration(), withdrawals(d))
--- a/config/doc.go
+++ b/config/doc.go
@@ -16,16 +16,16 @@
 // from the base in one transaction, conditional on the generation that the
 // base was read at, together with a row for the apply's id. All of it is in
 // force or none. The loser of a race gets RaceError. When the answer is lost,
-// Outcome reads the apply's row back. Absence of that row proves nothing as
-// long as the write may still land, so Outcome writes the row itself, as
+// Resolve reads the apply's row back. Absence of that row proves nothing as
+// long as the write may still land, so Resolve writes the row itself, as
 // rejected: one of the two writes wins, and the other can never take effect.
 //
 // # How it comes into force
 //
 // Generations only grow. Two relays in each data centre read the table's
-// changes and pass them on as deltas through two trees over the data centre's
-// roster. No daemon is an inner node of both trees, so the loss of one daemon
-// cuts one tree at most. A slow exchange of generations between neighbours
+// changes. Deltas go down one tree over the data centre's roster and
+// announcements down another. No daemon is an inner node of both trees, so the
+// loss of one daemon cuts one tree at most. A slow exchange of generations between neighbours
 // repairs what the trees missed, tells every daemon how old its knowledge is,
 // and collects who has confirmed. A relay that can't read the table asks
 // relays of other data centres. A daemon takes a generation only when it has
--- a/config/relay.go
+++ b/config/relay.go
@@ -96,6 +96,7 @@
 		return
 	}
 	r.failures, r.read = 0, r.started
+	m.lastError = ""
 	if !u.Changed {
 		// Nothing was newer than the version that the read started from.
 		if !late && !m.full {
--- a/config/spread.go
+++ b/config/spread.go
@@ -167,6 +167,7 @@
 func (m *Spreader) take(now time.Time, h Head, version uint64, full bool, rows []Row) bool {
 	from := m.generation()
 	if h.Generation <= from {
+		m.full = m.full && !full // all that there is has been seen, and is no more
 		return false
 	}
 	if full {
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -322,6 +322,14 @@
 	parts[0].Rows = parts[0].Rows[1:]
 	d.receiveDelta(f.now, f.names[1], parts[0])
 	require.Equal(t, uint64(1), d.Snapshot().Generation)
+	require.Contains(t, d.Status(f.now).LastError, "its digest is")
+	for _, other := range f.names {
+		f.daemons[other].receiveDelta(f.now, f.names[1], parts[0])
+	}
+	f.run(5 * time.Second)
+	for _, d := range f.daemons {
+		require.False(t, d.full, "there is nothing newer to ask for")
+	}
 	g := f.apply(marked(2))
 	f.run(inForce)
 	require.Empty(t, f.behind(g, nil))
