Spread: knowledge that was never confirmed is very old

Cause: ConfirmedAt was the zero time until the first confirmation. Its distance from a time of today does not fit a Duration; the daemon's age of knowledge came out negative, and routes that refuse when cut off would have served.

Change: ConfirmedAt is a time long past, whose distance fits.

--- a/config/spread.go
+++ b/config/spread.go
@@ -121,9 +121,14 @@
 func (m *Spreader) Snapshot() *Snapshot { return m.content.snapshot }
 
 // ConfirmedAt returns the time of this daemon's clock at which it is certain
-// that nothing newer than Snapshot existed. It is zero when that was never so.
-// The age of knowledge is the time since then.
-func (m *Spreader) ConfirmedAt() time.Time { return m.confirmed }
+// that nothing newer than Snapshot existed. When that was never so it is a time
+// long past. The age of knowledge is the time since then.
+func (m *Spreader) ConfirmedAt() time.Time {
+	if m.confirmed.IsZero() {
+		return time.Unix(0, 0) // the zero time is too far back for a time.Duration
+	}
+	return m.confirmed
+}
 
 // Receive takes a message from the daemon at address from.
 func (m *Spreader) Receive(now time.Time, from string, msg *wire.Spread) {
