--- a/bench/overload.go
+++ b/bench/overload.go
@@ -67,6 +67,32 @@
 	}
 }
 
+// mixedSpec is overloadSpec where every other organisation enters by the
+// bottleneck itself, so that new trees and trees in progress compete there.
+func mixedSpec(p Params) spec {
+	s := overloadSpec(p)
+	for i := range s.demand {
+		if i%2 == 1 {
+			s.demand[i].service = p.Depth - 1
+		}
+	}
+	return s
+}
+
+// mixedEntry measures wasted work where some requests enter deep in the chain.
+func mixedEntry(p Params, seed uint64) Outcome {
+	s := mixedSpec(p)
+	mine := newWorld(s, ours(), seed).run()
+	base := newWorld(s, naive(), seed).run()
+	return Outcome{
+		Measures: []Measure{
+			{Name: "mixed-entry-goodput", Bound: 0.95, Value: mine.bottleneck(), Naive: base.bottleneck()},
+			{Name: "mixed-entry-wasted-work", Sense: AtMost, Bound: 0.02, Value: mine.wastedPart(), Naive: base.wastedPart()},
+		},
+		Curves: curves(mine, base),
+	}
+}
+
 // overload measures goodput, important requests and wasted work.
 func overload(p Params, seed uint64) Outcome {
 	s := overloadSpec(p)
--- a/bench/spec.go
+++ b/bench/spec.go
@@ -12,6 +12,8 @@
 	slots int
 	work  time.Duration // mean time that a call works by itself
 	calls []int         // services that each call calls, one after the other
+
+	tolerant bool // goes on with the next call when one has failed, and fails at the end
 }
 
 // siteSpec is one data centre.
@@ -26,6 +28,7 @@
 	weight       float64 // contract weight
 	importance   request.Importance
 	region       string
+	service      int                            // service that the requests enter by
 	rate         func(at time.Duration) float64 // requests a second
 	retries      int                            // times that a caller asks again
 	pause        time.Duration                  // before it asks again
