--- a/config/receive_test.go
+++ b/config/receive_test.go
@@ -65,3 +65,23 @@
 	offset := m.ConfirmedAt().Sub(epoch)
 	require.Greater(t, time.Hour-offset, 1000*time.Hour)
 }
+
+// Lists are searched by name, so an object must have the name of its row.
+func TestRowThatHoldsAnotherObjectIsNotTaken(t *testing.T) {
+	for key, value := range map[string]string{
+		"organisation/a": `{"name":"b","rate":1}`,
+		"link/a+b":       `{"regions":["a"]}`,
+		"route/a":        `{"name":`,
+	} {
+		c := newContent()
+		rows := []Row{{Key: key, Value: []byte(value)}}
+		err := c.take(Head{Generation: 1, Digest: c.digestAfter(rows)}, 1, rows)
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt, key)
+		require.Empty(t, c.rows)
+		require.Zero(t, c.snapshot.Generation)
+	}
+	c := newContent()
+	rows := []Row{{Key: "kind-of-a-later-version/x", Value: []byte(`{}`)}}
+	require.NoError(t, c.take(Head{Generation: 1, Digest: c.digestAfter(rows)}, 1, rows))
+}
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -387,6 +387,22 @@
 	require.True(t, d.ConfirmedAt().After(before))
 }
 
+// The daemon gives the rosters again whenever anything about members changes.
+func TestSameRosterAgainKeepsWhatIsKnownOfSilentParents(t *testing.T) {
+	f := newFleet(t, 18, 1, 30)
+	f.apply(marked(1))
+	f.run(5 * time.Second)
+	order := f.daemons[f.names[0]].topology.order
+	f.daemons[order[0]].stopped = true // parent of the fourth
+	f.run(10 * time.Second)
+	d := f.daemons[order[3]]
+	require.NotZero(t, d.asks.level[treeDelta])
+	d.SetRoster("dc0", f.rosters["dc0"])
+	require.NotZero(t, d.asks.level[treeDelta])
+	d.SetRoster("dc0", order[1:])
+	require.Zero(t, d.asks.level[treeDelta])
+}
+
 func TestDataCentreThatDoesNotAnswerIsNotConfirmed(t *testing.T) {
 	f := newFleet(t, 16, 2, 3)
 	g := f.apply(marked(1))
