--- a/backend/level.go
+++ b/backend/level.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if !now.Before(l.holdTill) {
-		l.correct(now, span, standing)
+		l.correct(now, span)
 	}
 	l.offered, l.compliant = [request.Classes]float64{}, [request.Classes]float64{}
 	l.started, l.shed, l.busy = 0, 0, 0
@@ -102,13 +102,13 @@
 }
 
 // correct moves the level once at the end of a window.
-func (l *level) correct(now time.Time, span time.Duration, standing bool) {
+func (l *level) correct(now time.Time, span time.Duration) {
 	total := sum(&l.offered)
 	target := l.started * float64(queueWait) / float64(span)
 	utilisation := max(busyLeast, min(1, l.busy/span.Seconds()))
 	carried := l.started / utilisation
 	room := carried + queueGain*(target-float64(l.waiting))
-	long := standing || float64(l.least) > max(target, 1)
+	long := float64(l.least) > max(target, 1)
 	drains := float64(l.waiting) < drainPart*float64(l.first)
 	pressed := l.shed > shedNoise*total || long && !drains
 	switch {
