Knowledge that was never confirmed is old; bodies have ten minutes

Cause: with no confirmation yet the age of knowledge overflowed to a negative time, and a route that refuses when cut off would have served; a body that takes longer than 30 s was cut although its route allowed more. Conclusion: the route's own deadline is what bounds a body.

--- a/instance/control.go
+++ b/instance/control.go
@@ -113,7 +113,9 @@
 	c.members.Tick(now)
 	c.takeMembers(now)
 	c.spread.Tick(now)
-	c.d.confirmed.Store(int64(c.spread.ConfirmedAt().Sub(c.d.epoch)))
+	if at := c.spread.ConfirmedAt(); !at.IsZero() {
+		c.d.confirmed.Store(int64(at.Sub(c.d.epoch)))
+	}
 	c.shares.Tick(now)
 	if !now.Before(c.gateNext) {
 		c.gateNext = now.Add(gateTick)
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 	workers            = 8 // goroutines for store operations and health checks
 	workQueue          = 256
 	requestIDBytes     = 8
+	neverConfirmed     = math.MinInt64 // in Daemon.confirmed
 )
 
 // Options is what a daemon needs besides its settings. The zero value of Log
@@ -119,6 +121,7 @@
 		serveErrors: make(chan error, 4),
 	}
 	d.incarnation = d.random()
+	d.confirmed.Store(neverConfirmed)
 	d.traffic, d.cutTraffic = context.WithCancel(context.Background())
 	d.background, d.endBack = context.WithCancel(context.Background())
 	d.gate = backend.NewGate(backend.Config{Slots: set.Backend.Slots, Connections: set.Backend.Connections}, d.now)
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"time"
 
 	"wisteriafold/request"
@@ -85,7 +86,12 @@
 }
 
 // knowledgeAge returns the time since it was last certain that nothing newer
-// than the configuration in force existed.
+// than the configuration in force existed, the longest time when that was never
+// certain.
 func (d *Daemon) knowledgeAge() time.Duration {
-	return d.now().Sub(d.epoch) - time.Duration(d.confirmed.Load())
+	at := d.confirmed.Load()
+	if at == neverConfirmed {
+		return math.MaxInt64
+	}
+	return d.now().Sub(d.epoch) - time.Duration(at)
 }
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -90,7 +90,7 @@
 	IdleTime    time.Duration `yaml:"idle_time" validate:"min=1s"`        // a kept-alive caller may be silent
 	PeerCalls   int           `yaml:"peer_calls" validate:"min=1"`        // calls from other daemons at once
 	Shutdown    time.Duration `yaml:"shutdown" validate:"min=1s,max=10m"` // for calls in flight to end
-	BodyTime    time.Duration `yaml:"body_time" validate:"min=1s,max=1h"` // between two parts of a body
+	BodyTime    time.Duration `yaml:"body_time" validate:"min=1s,max=1h"` // for a whole body, each direction
 	EntryWait   time.Duration `yaml:"entry_wait" validate:"min=0,max=1s"` // for tokens that are on the way
 	MailboxSize int           `yaml:"mailbox_size" validate:"min=64,max=1000000"`
 }
@@ -108,7 +108,7 @@
 			IdleTime:    time.Minute,
 			PeerCalls:   2048,
 			Shutdown:    time.Minute,
-			BodyTime:    30 * time.Second,
+			BodyTime:    10 * time.Minute,
 			EntryWait:   150 * time.Millisecond,
 			MailboxSize: 8192,
 		},
