instance: rolling replacement under load

Cause: shutdown was tested for one daemon; a fleet replaces all of them. Change: a test shuts every daemon down in turn under load, starts another in its place, and watches the contract over every window.

--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,43 +67,94 @@
 	require.Equal(t, "102400 <nil>", (<-uploaded).body, "what already ran ends whole")
 }
 
-// TestShutdownUnderLoadCutsNothing stops a daemon while requests run on its
-// backend server and further ones arrive everywhere.
-func TestShutdownUnderLoadCutsNothing(t *testing.T) {
-	f, err := newFleet()
-	require.NoError(t, err)
-	f.handle(t, "front", func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(20 * time.Millisecond)
-		fmt.Fprint(w, r.Header.Get("X-Nonce"))
-	})
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
+// load sends orders to the entries of a fleet until it is stopped, and fails
+// the test when one is cut, lost or answered wrongly.
+type load struct {
+	mu      sync.Mutex
+	entries []string
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	served  atomic.Int64
+}
+
+func startLoad(t *testing.T, f *fleet) *load {
+	l := &load{stop: make(chan struct{})}
+	l.enter(f)
 	for i := range 12 {
-		wg.Go(func() {
+		l.wg.Go(func() {
 			for n := 0; ; n++ {
 				select {
-				case <-stop:
-					return
-				default:
-				}
-				nonce := fmt.Sprintf("%d-%d", i, n)
-				entry := f.sets[1+i%2].Listen.Callers
-				a, err := f.try(t.Context(), entry, "POST", "/order", strings.NewReader("x"), f.keyed("X-Nonce", nonce)...)
-				if err == nil && a.header.Get(instance.HeaderOutcome) == "not-run" {
-					continue // refused and not cut; the callers try again
-				}
-				if err != nil || a.body != nonce {
-					t.Errorf("%v %+v", err, a)
+				case <-l.stop:
 					return
+				case <-time.After(time.Millisecond):
 				}
+				l.order(t, f, i, fmt.Sprintf("%d-%d", i, n))
 			}
 		})
 	}
-	time.Sleep(100 * time.Millisecond)
-	require.NoError(t, f.daemons[0].Shutdown(t.Context()))
-	time.Sleep(100 * time.Millisecond)
-	close(stop)
-	wg.Wait()
-	f.daemons = f.daemons[1:]
+	return l
+}
+
+// enter makes the callers use the fleet's daemons, but for the one at index leave.
+func (l *load) enter(f *fleet, leave ...int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = nil
+	for i := range f.sets {
+		if !slices.Contains(leave, i) {
+			l.entries = append(l.entries, f.sets[i].Listen.Callers)
+		}
+	}
+}
+
+func (l *load) order(t *testing.T, f *fleet, i int, nonce string) {
+	l.mu.Lock()
+	entry := l.entries[i%len(l.entries)]
+	l.mu.Unlock()
+	a, err := f.try(t.Context(), entry, "POST", "/order", strings.NewReader("x"), f.keyed("X-Nonce", nonce)...)
+	if err == nil && a.header.Get(instance.HeaderOutcome) == "not-run" {
+		return // refused and not cut; callers try again
+	}
+	if err != nil || a.body != nonce {
+		t.Errorf("%v %+v", err, a)
+	}
+	l.served.Add(1)
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wg.Wait()
+}
+
+// echo answers with the nonce after some work.
+func echo(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(5 * time.Millisecond)
+	fmt.Fprint(w, r.Header.Get("X-Nonce"))
+}
+
+// TestRollingReplacementUnderLoadCutsNothing shuts every daemon down in turn
+// while requests run on its backend server and arrive everywhere, and starts
+// another in its place.
+func TestRollingReplacementUnderLoadCutsNothing(t *testing.T) {
+	f, err := newFleet()
+	require.NoError(t, err)
+	f.handle(t, "front", echo)
+	l := startLoad(t, f)
+	for range 3 {
+		require.Eventually(t, func() bool { return l.served.Load() > 100 }, patience, time.Millisecond)
+		l.enter(f, 0)
+		svc := f.sets[0].Backend.Service
+		require.NoError(t, f.daemons[0].Shutdown(t.Context()))
+		f.servers[0].Close()
+		f.daemons, f.sets, f.servers = f.daemons[1:], f.sets[1:], f.servers[1:]
+		ls := &instance.Listeners{Callers: listen(), Egress: listen(), Peers: listen(), Operator: listen()}
+		seeds := []string{f.sets[0].Listen.Peers, f.sets[1].Listen.Peers, ls.Peers.Addr().String()}
+		require.NoError(t, f.add(svc, ls, seeds))
+		require.NoError(t, f.awaitReady())
+		l.enter(f)
+		l.served.Store(0)
+	}
+	l.end()
+	require.Zero(t, f.excess.overshoot())
 	require.NoError(t, f.stop())
 }
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -38,6 +38,8 @@
 	daemons []*instance.Daemon
 	sets    []instance.Settings
 	servers []*httptest.Server
+	added   int
+	excess  *excess
 
 	mu       sync.Mutex
 	handlers map[string]http.HandlerFunc
@@ -70,6 +72,9 @@
 	os.Exit(code)
 }
 
+// museumRate is rate and burst of the organisation in fleetConfig.
+const museumRate = 5000
+
 const fleetConfig = `
 data_centres: [{name: east-1, region: east}]
 organisations: [{name: museum, rate: 5000, burst: 5000}]
@@ -83,7 +88,7 @@
 `
 
 func newFleet() (*fleet, error) {
-	f := &fleet{store: memory.New(), handlers: make(map[string]http.HandlerFunc)}
+	f := &fleet{store: memory.New(), handlers: make(map[string]http.HandlerFunc), excess: &excess{started: time.Now()}}
 	conf, err := config.Parse(map[string][]byte{"fleet.yaml": []byte(fleetConfig)})
 	if err != nil {
 		return nil, err
@@ -106,16 +111,21 @@
 			return nil, err
 		}
 	}
+	return f, f.awaitReady()
+}
+
+// awaitReady waits until all daemons are members and can use their contracts.
+func (f *fleet) awaitReady() error {
 	deadline := time.Now().Add(patience)
 	for _, d := range f.daemons {
 		for d.Ready(3) != "" || !f.seesAll(d) {
 			if time.Now().After(deadline) {
-				return nil, fmt.Errorf("fleet not ready: %s", d.Ready(3))
+				return fmt.Errorf("fleet not ready: %s", d.Ready(3))
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	return f, nil
+	return nil
 }
 
 func (f *fleet) seesAll(d *instance.Daemon) bool {
@@ -152,7 +162,8 @@
 }
 
 func (f *fleet) add(svc string, ls *instance.Listeners, seeds []string) error {
-	n := len(f.daemons)
+	n := f.added
+	f.added++
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(n, svc, w, r) }))
 	f.servers = append(f.servers, srv)
 	set := instance.DefaultSettings()
@@ -163,7 +174,10 @@
 	set.Seeds = seeds
 	set.Limits.HeaderTime = headerTime
 	set.LogLevel = "warn"
-	d, err := instance.New(set, instance.Options{Table: f.store, Objects: f.store.Objects(), Listeners: ls})
+	d, err := instance.New(set, instance.Options{
+		Table: f.store, Objects: f.store.Objects(), Listeners: ls,
+		Hooks: instance.Hooks{Admitted: f.excess.admitted, GivenBack: f.excess.givenBack},
+	})
 	if err != nil {
 		return err
 	}
@@ -218,6 +232,34 @@
 	return nil
 }
 
+// excess watches the contract of the fleet's only organisation over every
+// window: admissions less rate times time, minus the least value of that before.
+type excess struct {
+	mu                sync.Mutex
+	started           time.Time
+	net, least, worst float64
+}
+
+func (e *excess) admitted(_ string, at time.Time) { e.count(at, 1) }
+
+func (e *excess) givenBack(_ string, at time.Time) { e.count(at, -1) }
+
+func (e *excess) count(at time.Time, n float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := at.Sub(e.started).Seconds() * museumRate
+	e.least = min(e.least, e.net-now)
+	e.net += n
+	e.worst = max(e.worst, e.net-now-e.least-museumRate)
+}
+
+// overshoot returns the whole requests beyond the contract.
+func (e *excess) overshoot() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return int(max(0, e.worst))
+}
+
 // answer is a response read to its end.
 type answer struct {
 	status  int
