link: sessions that are being retired do not count against MaxSessions

Cause: while one session over the limit was being retired by agreement, each tick of the keeper retired another one. Change: the limit counts the sessions that stay; tests for it and for a gap on the own clock. Conclusion: with three sessions and a limit of two, exactly the one unused for longest goes.

--- a/link/keeper.go
+++ b/link/keeper.go
@@ -178,11 +178,12 @@
 
 // limitSessions retires the sessions that were unused for longest above MaxSessions.
 func (l *Links) limitSessions(all []*session) {
-	over := len(all) - l.cfg.MaxSessions
+	kept := slices.DeleteFunc(all, func(s *session) bool { return s.retiring.Load() })
+	over := len(kept) - l.cfg.MaxSessions
 	if over <= 0 {
 		return
 	}
-	idle := slices.DeleteFunc(all, func(s *session) bool { return s.streams.Load() > 0 || s.retiring.Load() })
+	idle := slices.DeleteFunc(kept, func(s *session) bool { return s.streams.Load() > 0 })
 	slices.SortFunc(idle, func(a, b *session) int { return cmp.Compare(a.lastUse.Load(), b.lastUse.Load()) })
 	for _, s := range idle[:min(over, len(idle))] {
 		s.retire()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -262,3 +262,46 @@
 		closeAll(t, a, b)
 	})
 }
+
+func TestSessionsAreBounded(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		a := n.add(t, "a:1", &echo{}, func(c *Config) { c.MaxSessions = 2 })
+		all := []*Links{a}
+		for _, peer := range []string{"b:1", "c:1", "d:1"} {
+			all = append(all, n.add(t, peer, &echo{}, nil))
+			_, _, err := call(t.Context(), a, peer, "x")
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		var peers []string
+		for _, s := range a.Stats().Sessions {
+			peers = append(peers, s.Peer)
+		}
+		assert.Equal(t, []string{"c:1", "d:1"}, peers, "the one unused for longest is retired")
+		_, _, err := call(t.Context(), a, "b:1", "again")
+		require.NoError(t, err)
+		closeAll(t, all...)
+	})
+}
+
+// TestPauseOfThisProcessIsNotSilence takes all that was known about silence for
+// void after a gap on the own clock.
+func TestPauseOfThisProcessIsNotSilence(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		a, b := n.add(t, "a:1", &echo{}, nil), n.add(t, "b:1", &echo{}, nil)
+		_, _, err := call(t.Context(), a, "b:1", "x")
+		require.NoError(t, err)
+		s := a.sessions()[0]
+		time.Sleep(5 * time.Second)
+		s.pingAt.Store(a.since() - int64(2*time.Second))
+		s.forgive()
+		a.checkHealth(s, a.since())
+		assert.Zero(t, s.suspectAt.Load())
+		s.pingAt.Store(a.since())
+		time.Sleep(Defaults().PingTimeout - Defaults().Tick/2)
+		assert.Zero(t, s.suspectAt.Load(), "the term is a new one")
+		closeAll(t, a, b)
+	})
+}
