--- a/instance/events.go
+++ b/instance/events.go
@@ -7,9 +7,9 @@
 	"wisteriafold/service"
 )
 
-// decide records one decision about a call.
-func (d *Daemon) decide(c *request.Call, step, endpoint, why, outcome string) {
-	d.decisions.add(Decision{
+// decisionOf returns a decision about a call with what all decisions have.
+func (d *Daemon) decisionOf(c *request.Call, step string) Decision {
+	return Decision{
 		At:           d.now(),
 		RequestID:    c.ID,
 		Instance:     d.set.Instance,
@@ -18,25 +18,23 @@
 		Route:        c.Route,
 		Service:      c.Service,
 		Depth:        c.Depth,
-		Endpoint:     endpoint,
-		Why:          why,
-		Outcome:      outcome,
-	})
+	}
+}
+
+// decide records one decision about a call.
+func (d *Daemon) decide(c *request.Call, step, endpoint, why, outcome string) {
+	x := d.decisionOf(c, step)
+	x.Endpoint = endpoint
+	x.Why = why
+	x.Outcome = outcome
+	d.decisions.add(x)
 }
 
 // decideRoute records the choice of an endpoint.
 func (d *Daemon) decideRoute(c *request.Call, step string, choice *service.Decision) {
-	d.decisions.add(Decision{
-		At:           d.now(),
-		RequestID:    c.ID,
-		Instance:     d.set.Instance,
-		Step:         step,
-		Organisation: c.Organisation,
-		Route:        c.Route,
-		Service:      c.Service,
-		Depth:        c.Depth,
-		choice:       *choice,
-	})
+	x := d.decisionOf(c, step)
+	x.choice = *choice
+	d.decisions.add(x)
 }
 
 // finished records what became of a call at the daemon where it started.
@@ -44,17 +42,9 @@
 	if c == nil {
 		return // refused before it was known what it is
 	}
-	d.decisions.add(Decision{
-		At:           d.now(),
-		RequestID:    c.ID,
-		Instance:     d.set.Instance,
-		Step:         "answer",
-		Organisation: c.Organisation,
-		Route:        c.Route,
-		Service:      c.Service,
-		Depth:        c.Depth,
-		Why:          why,
-		Outcome:      outcome.String(),
-		Took:         d.now().Sub(started),
-	})
+	x := d.decisionOf(c, "answer")
+	x.Why = why
+	x.Outcome = outcome.String()
+	x.Took = x.At.Sub(started)
+	d.decisions.add(x)
 }
