backend, request: a shut class opens by factors, and a rise leaves a trickle for feedback

Cause: with the deepest service ten times slower its gates shut the whole class; entries then heard nothing, and after half a second opened by a fixed slope, which let in a tenth of a demand that was a hundred times the capacity.

Change: a rise leaves 0.2 percent of the class it lies in, and an entry without feedback opens each class by a constant factor, from 0.2 percent to all in 500 ms.

--- a/backend/level.go
+++ b/backend/level.go
@@ -48,7 +48,7 @@
 	queueWait   = 20 * time.Millisecond // wait that corresponds to the target length of the queue
 	queueGain   = 0.3                   // part of the queue's error that one window corrects
 	following   = 0.4                   // part of compliant calls from which entries count as following
-	openLeast   = 0.002                 // open part that a class starts with
+	openLeast   = 0.002                 // open part that a class starts with, and that a rise leaves for feedback
 	openMost    = 2                     // largest factor of a first fall
 	openSpeedUp = 1.5                   // growth of that factor while the gate is far from busy
 	openLimit   = 8                     // its bound
@@ -150,7 +150,7 @@
 			left -= calls[c]
 			continue
 		}
-		l.set(c, l.open(c)*left/calls[c])
+		l.set(c, max(openLeast, l.open(c)*left/calls[c]))
 		return
 	}
 }
--- a/bench/ablation.go
+++ b/bench/ablation.go
@@ -41,19 +41,26 @@
 	l := newWorld(slowLiarSpec(p), v, seed)
 	f := newWorld(failingLiarSpec(p), v, seed)
 	r := newWorld(regionSpec(p), v, seed)
+	b := newWorld(busyRegionSpec(p), v, seed).run()
+	a := newWorld(largeAnswerSpec(p), v, seed)
 	l.run()
 	f.run()
 	r.run()
+	a.run()
 	return []Measure{
 		{Name: "goodput", Value: o.bottleneck()},
 		{Name: "important", Value: o.important()},
 		{Name: "wasted", Value: o.wastedPart()},
 		{Name: "mixed-wasted", Value: m.wastedPart()},
 		{Name: "recovery", Unit: "s", Value: d.recovery(slowFrom + slowFor)},
+		{Name: "slow-wasted", Value: d.wastedIn(slowFrom, slowFrom+slowFor)},
 		{Name: "worst-served", Value: h.worstServed()},
 		{Name: "cold", Value: c.served(faultFrom, faultEnds)},
 		{Name: "slow-liar", Value: l.account.served(faultFrom, faultEnds)},
 		{Name: "failing-liar", Value: f.account.served(faultFrom, faultEnds)},
+		{Name: "busy-other", Value: b.regionServed("kumamoto")},
+		{Name: "busy-own", Value: b.regionServed("fukuoka")},
+		{Name: "large-link-B/s", Value: a.linkPeak()},
 		{Name: "other-region", Value: r.account.regionServed("kumamoto")},
 		{Name: "own-region", Value: r.account.regionServed("fukuoka")},
 		{Name: "link-B/s", Value: r.linkPeak()},
--- a/bench/account.go
+++ b/bench/account.go
@@ -156,10 +156,13 @@
 }
 
 // wastedPart returns the part of the work after the warm-up that was wasted.
-func (a *account) wastedPart() float64 {
-	work := a.work.sum(warmUp, a.spec.duration)
+func (a *account) wastedPart() float64 { return a.wastedIn(warmUp, a.spec.duration) }
+
+// wastedIn returns the part of the work between from and to that was wasted.
+func (a *account) wastedIn(from, to time.Duration) float64 {
+	work := a.work.sum(from, to)
 	if work == 0 {
 		return 0
 	}
-	return a.wasted.sum(warmUp, a.spec.duration) / work
+	return a.wasted.sum(from, to) / work
 }
--- a/bench/region.go
+++ b/bench/region.go
@@ -28,6 +28,34 @@
 	}
 }
 
+// Sizes and demand of the variants that press on one side of the spill.
+const (
+	busyDemand  = 0.8       // in each region, where the other region needs its capacity
+	smallAnswer = 256       // bytes, of which the link carries any number
+	largeAnswer = 100 << 10 // bytes, of which the link carries few
+)
+
+// busyRegionSpec is regionSpec with busy regions and answers that cost the
+// link nothing: only the other region's own need limits the spill.
+func busyRegionSpec(p Params) spec {
+	s := regionSpec(p)
+	for i := range s.demand {
+		part := s.demand[i].rate(0) / regionDemand
+		s.demand[i].rate = steady(part * busyDemand)
+		s.demand[i].body, s.demand[i].answer = smallAnswer, smallAnswer
+	}
+	return s
+}
+
+// largeAnswerSpec is regionSpec with answers that the link carries few of.
+func largeAnswerSpec(p Params) spec {
+	s := regionSpec(p)
+	for i := range s.demand {
+		s.demand[i].answer = largeAnswer
+	}
+	return s
+}
+
 // loseRegion kills three quarters of each service's endpoints in a region. The
 // daemons of the lost endpoints take no requests either.
 func (w *world) loseRegion(region string) {
@@ -54,10 +82,18 @@
 	s := regionSpec(p)
 	wm, wb := newWorld(s, ours(), seed), newWorld(s, naive(), seed)
 	mine, base := wm.run(), wb.run()
+	busy := busyRegionSpec(p)
+	mineBusy, baseBusy := newWorld(busy, ours(), seed).run(), newWorld(busy, naive(), seed).run()
+	large := largeAnswerSpec(p)
+	lm, lb := newWorld(large, ours(), seed), newWorld(large, naive(), seed)
+	lm.run()
+	lb.run()
 	return Outcome{
 		Measures: []Measure{
 			{Name: "region-loss-other-goodput", Bound: 0.95, Value: mine.regionServed("kumamoto"), Naive: base.regionServed("kumamoto")},
 			{Name: "region-loss-link-bytes", Unit: "B/s", Sense: AtMost, Bound: linkRate, Value: wm.linkPeak(), Naive: wb.linkPeak()},
+			{Name: "region-loss-busy-other-goodput", Bound: 0.95, Value: mineBusy.regionServed("kumamoto"), Naive: baseBusy.regionServed("kumamoto")},
+			{Name: "region-loss-large-answers-link-bytes", Unit: "B/s", Sense: AtMost, Bound: linkRate, Value: lm.linkPeak(), Naive: lb.linkPeak()},
 		},
 		Curves: curves(mine, base),
 	}
--- a/request/entry.go
+++ b/request/entry.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -141,7 +142,12 @@
 	e.level = max(0, min(float64(LevelShut), e.level))
 }
 
-// relax lets the level fall while no feedback comes.
+// openLeast is the open part of a class with which relax starts to open it.
+const openLeast = 0.002
+
+// relax lets the level fall while no feedback comes. The open part of a class
+// grows by a factor, from little to all in FallIn, because the demand that has
+// gathered behind a shut class may be many times the capacity.
 func (e *EntryControl) relax(now time.Time) {
 	if now.Sub(e.heard) <= e.cfg.StaleIn || e.level == 0 {
 		return
@@ -154,6 +160,24 @@
 	if dt <= 0 {
 		return
 	}
-	e.step(-float64(LevelShut), dt)
+	e.level = opened(e.level, float64(dt)/float64(e.cfg.FallIn))
 	e.moved = now
 }
+
+// opened returns the level after its class has opened for a time, in units of
+// the time that one class takes.
+func opened(level, classes float64) float64 {
+	growth := math.Log(1 / openLeast)
+	for level > 0 {
+		width := float64(ClassWidth)
+		top := math.Ceil(level / width)
+		open := max(openLeast, top-level/width)
+		need := math.Log(1/open) / growth
+		if need > classes {
+			return width * (top - open*math.Exp(growth*classes))
+		}
+		classes -= need
+		level = width * (top - 1)
+	}
+	return 0
+}
