--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -31,8 +31,13 @@
 	cut   func(from, to string) bool // links that lose everything
 	blind func(daemon string) bool   // daemons that don't reach the store
 	loss  float64                    // probability that a message is lost
+	slow  float64                    // probability that a message takes slowBy longer
 	bytes int                        // sent, marshalled
-	reads int                        // of the store
+	sent  int                        // messages
+
+	dropReads bool // results of reads get lost
+
+	reads int // of the store
 }
 
 // daemon is one spreader and what it has published.
@@ -66,7 +71,10 @@
 	return x
 }
 
-const tickEvery = 50 * time.Millisecond
+const (
+	tickEvery = 50 * time.Millisecond
+	slowBy    = 1500 * time.Millisecond
+)
 
 func newFleet(t testing.TB, seed uint64, dataCentres, each int) *fleet {
 	f := &fleet{
@@ -130,6 +138,7 @@
 	raw, err := proto.Marshal(m)
 	require.NoError(f.t, err)
 	f.bytes += len(raw)
+	f.sent++
 	from := d.o.Self
 	if d.stopped || f.cut(from, to) || f.random.Float64() < f.loss {
 		return
@@ -138,6 +147,9 @@
 	if target := f.daemons[to]; target != nil && target.dc != d.dc {
 		latency = 20 * time.Millisecond
 	}
+	if f.random.Float64() < f.slow {
+		latency += slowBy
+	}
 	f.after(latency, func() {
 		target := f.daemons[to]
 		if target == nil || target.stopped {
@@ -153,7 +165,7 @@
 func (d *daemon) fetch(since uint64) {
 	d.f.reads++
 	d.f.after(20*time.Millisecond, func() {
-		if d.stopped {
+		if d.stopped || d.f.dropReads {
 			return
 		}
 		if d.f.blind(d.o.Self) {
--- a/config/spread.go
+++ b/config/spread.go
@@ -18,6 +18,7 @@
 	announceGrace = 200 * time.Millisecond // from an announcement until its sender is asked
 	announceTries = 10                     // asks for one announcement
 	readEvery     = 500 * time.Millisecond // between reads of the store by one relay
+	readTimeout   = 5 * time.Second        // after which a read counts as lost
 	takeoverAge   = 4 * time.Second        // age of knowledge at which a candidate begins to read
 	takeoverStep  = time.Second            // added for each place further down
 	cutOffAfter   = 1500 * time.Millisecond
@@ -65,6 +66,7 @@
 	content   *content
 	journal   journal
 	withdrawn map[string]uint64 // key digest to the generation that withdraws it
+	roster    []string          // of this data centre, as it was given
 	topology  topology
 	rosters   map[string][]string // of other data centres
 	confirmed time.Time           // when nothing newer than content was known to exist
@@ -105,6 +107,10 @@
 		m.rosters[dataCentre] = addresses
 		return
 	}
+	if slices.Equal(addresses, m.roster) {
+		return
+	}
+	m.roster = slices.Clone(addresses)
 	m.topology = newTopology(m.o.Self, addresses)
 	for tree := range m.asks.level {
 		m.asks.level[tree] = 0
@@ -115,9 +121,14 @@
 func (m *Spreader) Snapshot() *Snapshot { return m.content.snapshot }
 
 // ConfirmedAt returns the time of this daemon's clock at which it is certain
-// that nothing newer than Snapshot existed. It is zero when that was never so.
-// The age of knowledge is the time since then.
-func (m *Spreader) ConfirmedAt() time.Time { return m.confirmed }
+// that nothing newer than Snapshot existed. When that was never so it is a time
+// long past. The age of knowledge is the time since then.
+func (m *Spreader) ConfirmedAt() time.Time {
+	if m.confirmed.IsZero() {
+		return time.Unix(0, 0) // the zero time is too far back for a time.Duration
+	}
+	return m.confirmed
+}
 
 // Receive takes a message from the daemon at address from.
 func (m *Spreader) Receive(now time.Time, from string, msg *wire.Spread) {
@@ -161,6 +172,7 @@
 func (m *Spreader) take(now time.Time, h Head, version uint64, full bool, rows []Row) bool {
 	from := m.generation()
 	if h.Generation <= from {
+		m.full = m.full && !full // all that there is has been seen, and is no more
 		return false
 	}
 	if full {
--- a/contract/borrowing.go
+++ b/contract/borrowing.go
@@ -148,23 +148,39 @@
 	})
 }
 
+// askSpacing is the least time between the answer to an ask and the next ask
+// to the same lender for more. Without it, loans that grow by less and less
+// with each grant make the two ask and grant without end at one instant.
+const askSpacing = 10 * time.Millisecond
+
 // pump sends the asks that are due.
 func (b *borrowing) pump(now time.Time, lenders []string) {
 	for _, lender := range lenders {
 		b.session(lender)
 	}
 	for _, s := range b.order {
-		if s.waiting {
-			continue
-		}
-		renew := len(s.debts) > 0 && !now.Before(s.due)
-		var urgent []uint64
-		if !b.stopped && !now.Before(s.next) {
-			urgent = b.owner.wants(now, s.lender)
-		}
-		if renew || len(urgent) > 0 {
-			b.ask(now, s, urgent)
-		}
+		b.pumpSession(now, s)
+	}
+}
+
+// pumpOne sends the ask to one lender if it is due.
+func (b *borrowing) pumpOne(now time.Time, lender string) {
+	if s := b.sessions[lender]; s != nil {
+		b.pumpSession(now, s)
+	}
+}
+
+func (b *borrowing) pumpSession(now time.Time, s *session) {
+	if s.waiting {
+		return
+	}
+	renew := len(s.debts) > 0 && !now.Before(s.due)
+	var urgent []uint64
+	if !b.stopped && !now.Before(s.next) {
+		urgent = b.owner.wants(now, s.lender)
+	}
+	if renew || len(urgent) > 0 {
+		b.ask(now, s, urgent)
 	}
 }
 
@@ -269,7 +285,7 @@
 	if grown >= s.hopes {
 		s.backoff = 0
 	}
-	s.next = now.Add(s.backoff)
+	s.next = now.Add(max(s.backoff, askSpacing))
 	b.clean(s)
 }
 
--- a/datacentre/config.go
+++ b/datacentre/config.go
@@ -21,6 +21,9 @@
 	// PullEvery is the time between two questions to a relay.
 	PullEvery time.Duration
 
+	// RelayGroup is about the number of members that ask one relay.
+	RelayGroup int
+
 	// ReadEvery is the time between two reads of the store by a relay.
 	ReadEvery time.Duration
 
@@ -51,10 +54,12 @@
 	// RetryEvery is the time after which an unacknowledged change is sent again.
 	RetryEvery time.Duration
 
-	// RenewEvery is the time between two renewals of a subscription, and
+	// RenewEvery is the time between two renewals of a subscription,
+	// RenewFarEvery that for subscribers in other data centres, and
 	// RenewalsPerSecond bounds what a registrar asks for in all for one
 	// service; above it the interval grows, up to RenewMax.
 	RenewEvery        time.Duration
+	RenewFarEvery     time.Duration
 	RenewalsPerSecond float64
 	RenewMax          time.Duration
 
@@ -88,18 +93,20 @@
 // Self, DataCentre, Region, Seeds and FarSeeds are left to the caller.
 func Defaults() Config {
 	return Config{
-		PullEvery:           5 * time.Second,
+		PullEvery:           10 * time.Second,
+		RelayGroup:          64,
 		ReadEvery:           2 * time.Second,
 		AskBatch:            300 * time.Millisecond,
 		JoinJitter:          500 * time.Millisecond,
 		ReplyTimeout:        2 * time.Second,
 		HeartbeatEvery:      1500 * time.Millisecond,
-		HeartbeatsPerSecond: 20,
+		HeartbeatsPerSecond: 10,
 		HeartbeatMax:        10 * time.Second,
 		MissedHeartbeats:    3.5,
 		RetryEvery:          250 * time.Millisecond,
 		RenewEvery:          5 * time.Second,
-		RenewalsPerSecond:   8,
+		RenewFarEvery:       40 * time.Second,
+		RenewalsPerSecond:   5,
 		RenewMax:            time.Minute,
 		PushesPerSecond:     100,
 		PushMax:             2 * time.Second,
@@ -114,16 +121,17 @@
 }
 
 const (
-	registrars     = 2 // registrars of a service in a data centre
-	candidates     = 6 // members in rendezvous order that may stand in for them
-	pauseAfter     = time.Second
-	expelledKept   = 256 // addresses of the list of expelled ones in a row
-	pastKept       = 4   // superseded incarnations remembered for an address
-	changesKept    = 256 // changes of one service that a registrar can send as deltas
-	rosterLogKept  = 64  // changes of one roster that a relay can send as deltas
-	idleAfter      = time.Minute
-	storePatience  = 15 * time.Second // age of confirmation at which relays elsewhere are asked
-	joinAsksToPeer = 3                // requests to a relay before writing to the store itself
-	addressesSent  = 4000             // most addresses in one answer to a pull
-	ranksKept      = 1024             // rankings that are remembered
+	registrars      = 2 // registrars of a service in a data centre
+	candidates      = 6 // members in rendezvous order that may stand in for them
+	pauseAfter      = time.Second
+	expelledKept    = 256 // addresses of the list of expelled ones in a row
+	pastKept        = 4   // superseded incarnations remembered for an address
+	changesKept     = 256 // changes of one service that a registrar can send as deltas
+	rosterLogKept   = 64  // changes of one roster that a relay can send as deltas
+	idleAfter       = time.Minute
+	storePatience   = 15 * time.Second // age of confirmation at which relays elsewhere are asked
+	joinAsksToPeer  = 3                // requests to a relay to be added, before writing to the store itself
+	leaveAsksToPeer = 1                // requests to a relay to be taken off, before writing to the store itself
+	addressesSent   = 4000             // most addresses in one answer to a pull
+	ranksKept       = 1024             // rankings that are remembered
 )
--- a/organisation/organisation_test.go
+++ b/organisation/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -51,6 +52,20 @@
 	require.Equal(t, []KeyID{id1}, Withdrawn(ring, less))
 }
 
+func TestKeyringIsSharedOnlyWithTheSameListOfKeys(t *testing.T) {
+	_, id := testKey(t, 1)
+	c := &config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "a"}}}
+	ring := NewKeyring(c)
+	same := *c
+	require.Same(t, ring, ring.For(&same))
+	other := config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "b"}}}
+	owner, _ := ring.For(&other).Owner(id)
+	require.Equal(t, "b", owner)
+	less := ring.Without([]string{id.String()})
+	owner, _ = less.For(c).Owner(id)
+	require.Equal(t, "a", owner)
+}
+
 func TestKeyOfAnotherOrganisationCountsAsWithdrawn(t *testing.T) {
 	_, id := testKey(t, 1)
 	before := NewKeyring(&config.Configuration{Keys: []config.Key{{Digest: id.String(), Organisation: "a"}}})
@@ -105,3 +120,22 @@
 		}
 	}
 }
+
+// BenchmarkNewKeyring is what a change of a key costs a daemon, by the number
+// of keys.
+func BenchmarkNewKeyring(b *testing.B) {
+	for _, keys := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			c := &config.Configuration{}
+			for i := range keys {
+				c.Keys = append(c.Keys, config.Key{Digest: fmt.Sprintf("sha256:%064x", i), Organisation: "a"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if NewKeyring(c).Len() != keys {
+					b.Fatal("lost a key")
+				}
+			}
+		})
+	}
+}
