--- a/backend/core.go
+++ b/backend/core.go
@@ -225,7 +225,7 @@
 	c.level.load(now, c.running, c.Limit(), c.queue.len)
 	c.overload.advance(now, c.queue.len)
 	c.queue.setNewestFirst(c.overload.standing)
-	c.level.advance(now, c.overload.standing)
+	c.level.advance(now)
 	if c.queue.len > 0 && now.Sub(c.swept) >= sweepEvery {
 		c.swept = now
 		c.sweep(now)
--- a/backend/level.go
+++ b/backend/level.go
@@ -81,9 +81,8 @@
 	l.least = min(l.least, waiting)
 }
 
-// advance closes the windows that have ended by now. standing says that the
-// queue shows standing overload.
-func (l *level) advance(now time.Time, standing bool) {
+// advance closes the window that has ended by now.
+func (l *level) advance(now time.Time) {
 	if l.at.IsZero() {
 		l.at = now
 		return
--- a/bench/endpoints.go
+++ b/bench/endpoints.go
@@ -62,16 +62,17 @@
 	return Outcome{
 		Measures: []Measure{{
 			Name: "cold-start-goodput", Bound: 0.95,
-			Value: mine.served(faultFrom, faultEnds), Naive: base.served(faultFrom, faultEnds),
+			Value: mine.served(faultEnds), Naive: base.served(faultEnds),
 		}},
 		Curves: curves(mine, base),
 	}
 }
 
-// served returns the least ratio of goodput to demand in any second.
-func (a *account) served(from, to time.Duration) float64 {
+// served returns the least ratio of goodput to demand in any second between the
+// fault and to.
+func (a *account) served(to time.Duration) float64 {
 	worst := 1.0
-	for at := from; at+time.Second <= to; at += bin {
+	for at := faultFrom; at+time.Second <= to; at += bin {
 		demand := a.demanded(at, at+time.Second, nil)
 		worst = min(worst, a.goodput(at, at+time.Second, nil)/demand)
 	}
@@ -109,9 +110,9 @@
 	mineBroken, baseBroken := fm.run(), fb.run()
 	return Outcome{
 		Measures: []Measure{
-			{Name: "liar-slow-goodput", Bound: 0.95, Value: mine.served(faultFrom, faultEnds), Naive: base.served(faultFrom, faultEnds)},
+			{Name: "liar-slow-goodput", Bound: 0.95, Value: mine.served(faultEnds), Naive: base.served(faultEnds)},
 			{Name: "liar-slow-attempts", Sense: AtMost, Bound: fair, Value: wm.victimPart(), Naive: wb.victimPart()},
-			{Name: "liar-failing-goodput", Bound: 0.95, Value: mineBroken.served(faultFrom, faultEnds), Naive: baseBroken.served(faultFrom, faultEnds)},
+			{Name: "liar-failing-goodput", Bound: 0.95, Value: mineBroken.served(faultEnds), Naive: baseBroken.served(faultEnds)},
 			{Name: "liar-failing-failures", Sense: AtMost, Bound: fair, Value: fm.victimFailures(), Naive: fb.victimFailures()},
 		},
 		Curves: curves(mine, base),
--- a/bench/gate.go
+++ b/bench/gate.go
@@ -59,9 +59,8 @@
 
 // coreGate drives the real gate.
 type coreGate struct {
-	w       *world
-	core    *backend.Core
-	ticking bool
+	w    *world
+	core *backend.Core
 }
 
 const (
