--- a/try/deployment.go
+++ b/try/deployment.go
@@ -24,7 +24,7 @@
 const (
 	serviceTime    = 3 * time.Millisecond
 	platformWait   = 2 * time.Second
-	readyWithin    = 20 * time.Second
+	readyWithin    = time.Minute
 	readyLook      = 50 * time.Millisecond
 	operationLimit = 5 * time.Second
 )
