--- a/contract/account.go
+++ b/contract/account.go
@@ -45,6 +45,12 @@
 // as long as loans outlast a share that shrank.
 func (a *account) own() Amount { return a.base.plus(a.in).minus(a.lent) }
 
+// idle reports whether nobody borrows or wants anything.
+func (a *account) idle() bool {
+	none := Amount{}
+	return a.lent == none && a.in == none && a.wantDaemons == none && a.wantHolders == none && a.short == 0
+}
+
 // advance refills the bucket up to now.
 func (a *account) advance(now time.Time) {
 	if dt := now.Sub(a.at); dt > 0 {
--- a/contract/borrower.go
+++ b/contract/borrower.go
@@ -43,6 +43,7 @@
 	limiter *Limiter
 	demands map[uint64]*demand
 	ids     []uint64
+	active  []uint64         // contracts with requests or loans
 	holders [Groups][]string // of the daemon's data centre
 	debts   *borrowing
 	sampled time.Time
@@ -203,7 +204,7 @@
 func (b *Borrower) wants(now time.Time, lender string) []uint64 {
 	var ids []uint64
 	at := int64(now.Sub(b.cfg.Epoch))
-	for _, id := range b.ids {
+	for _, id := range b.active {
 		d := b.demands[id]
 		if b.lender(now, d) != lender {
 			continue
@@ -325,6 +326,13 @@
 // tick asks for what is needed.
 func (b *Borrower) tick(now time.Time) {
 	b.sample(now)
+	b.active = b.active[:0]
+	for _, id := range b.ids {
+		d := b.demands[id]
+		if len(d.parts) > 0 || d.gauge.waiting.Load() > 0 || (!d.lastAsk.IsZero() && now.Sub(d.lastAsk) <= activeFor) {
+			b.active = append(b.active, id)
+		}
+	}
 	b.pump(now)
 }
 
--- a/contract/holder.go
+++ b/contract/holder.go
@@ -138,6 +138,9 @@
 		h.short[g] = h.short[g][:0]
 		for _, id := range h.ids[g] {
 			a := h.accounts[id]
+			if a.idle() {
+				continue
+			}
 			a.advance(now)
 			if h.isShort(a) {
 				h.short[g] = append(h.short[g], id)
