--- a/cmd/wisteriafold/configuration.go
+++ b/cmd/wisteriafold/configuration.go
@@ -36,7 +36,7 @@
 		Use:     "check DIR",
 		Short:   "Check a configuration directory without applying it",
 		Example: "  wisteriafold check examples/kurume/configuration",
-		Args:    cobra.ExactArgs(1),
+		Args:    usage(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := config.LoadDirectory(args[0])
 			if err != nil {
@@ -70,7 +70,7 @@
 		Use:     "diff DIR",
 		Short:   "Show what applying a directory would change",
 		Example: "  wisteriafold diff examples/kurume/configuration --platform 127.0.0.1:6000",
-		Args:    cobra.ExactArgs(1),
+		Args:    usage(cobra.ExactArgs(1)),
 	}
 	s.flags(c)
 	c.RunE = func(cmd *cobra.Command, args []string) error {
@@ -78,16 +78,27 @@
 		if err != nil {
 			return err
 		}
-		changes := config.Diff(base.Snapshot.Configuration, next)
-		text := changes.String()
-		if len(changes) == 0 {
-			text = fmt.Sprintf("no difference to generation %d", base.Snapshot.Generation)
-		}
-		return output(cmd, changes, text)
+		d := difference{base.Snapshot.Generation, config.Changes{}}
+		d.Changes = append(d.Changes, config.Diff(base.Snapshot.Configuration, next)...)
+		return output(cmd, d, d.String())
 	}
 	return c
 }
 
+// difference is what applying a directory would change.
+type difference struct {
+	Generation uint64         `json:"generation"` // that the directory was compared with
+	Changes    config.Changes `json:"changes"`
+}
+
+// String returns the generation and one line for each change.
+func (d difference) String() string {
+	if len(d.Changes) == 0 {
+		return fmt.Sprintf("no difference to generation %d", d.Generation)
+	}
+	return fmt.Sprintf("compared with generation %d:\n%s", d.Generation, d.Changes)
+}
+
 // load reads a directory and what is in force.
 func (s *store) load(ctx context.Context, dir string) (*config.Configuration, *config.Stored, error) {
 	next, err := config.LoadDirectory(dir)
@@ -108,7 +119,7 @@
 		Use:     "show",
 		Short:   "Show the configuration in the store",
 		Example: "  wisteriafold show --platform 127.0.0.1:6000",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 	}
 	s.flags(c)
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -140,6 +151,8 @@
 	wait    bool
 	timeout time.Duration
 	outcome string
+	pinned  bool   // base was given
+	base    uint64 // generation that must be in force
 }
 
 func applyCommand() *cobra.Command {
@@ -150,16 +163,21 @@
 		Long: `apply checks a directory completely and writes the difference in one
 transaction that is conditional on the generation it was based on. The outcome
 is accepted, rejected or unknown; when it is unknown, the command to ask again
-is printed.`,
-		Example: "  wisteriafold apply examples/kurume/configuration --wait --settings-dir examples/kurume/daemons\n  wisteriafold apply --outcome 0000000000000007-1f2e3d4c5b6a7988",
-		Args:    cobra.MaximumNArgs(1),
+is printed. With --base the apply is rejected unless exactly that generation,
+which diff prints, is in force: what was reviewed is what is applied.`,
+		Example: "  wisteriafold apply examples/kurume/configuration --wait --settings-dir examples/kurume/daemons\n  wisteriafold apply examples/kurume/configuration --base 6\n  wisteriafold apply --outcome 0000000000000007-1f2e3d4c5b6a7988",
+		Args:    usage(cobra.MaximumNArgs(1)),
 	}
 	f.store.flags(c)
 	f.fleet.flags(c)
 	c.Flags().BoolVar(&f.wait, "wait", false, "wait until all instances have confirmed, and name those that have not")
 	c.Flags().DurationVar(&f.timeout, "timeout", 30*time.Second, "how long --wait waits")
+	c.Flags().Uint64Var(&f.base, "base", 0, "apply only when this generation is in force, as printed by diff")
 	c.Flags().StringVar(&f.outcome, "outcome", "", "ask what became of the apply with this id")
-	c.RunE = func(cmd *cobra.Command, args []string) error { return f.run(cmd, args) }
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		f.pinned = cmd.Flags().Changed("base")
+		return f.run(cmd, args)
+	}
 	return c
 }
 
@@ -167,6 +185,16 @@
 	if (len(args) == 1) == (f.outcome != "") {
 		return withCode(exitUsage, eris.New("give either a directory or --outcome ID"))
 	}
+	if f.pinned && f.outcome != "" {
+		return withCode(exitUsage, eris.New("--base goes with a directory, not with --outcome"))
+	}
+	var daemons []string
+	if f.wait {
+		var err error
+		if daemons, err = f.addresses(); err != nil {
+			return err // before anything is written
+		}
+	}
 	client := f.open()
 	defer client.Close()
 	res, err := f.apply(cmd.Context(), client, args)
@@ -180,7 +208,7 @@
 		return withCode(applyCode(err), err)
 	}
 	if f.wait {
-		return f.await(cmd, res.Generation)
+		return f.await(cmd, daemons, res.Generation)
 	}
 	return nil
 }
@@ -193,7 +221,7 @@
 	}
 	next, err := config.LoadDirectory(args[0])
 	if err != nil {
-		return config.Result{}, err
+		return config.Result{}, withCode(exitUsage, err)
 	}
 	base, err := config.Read(ctx, table)
 	if err != nil {
@@ -203,6 +231,9 @@
 	if err != nil {
 		return config.Result{}, err
 	}
+	if now := base.Snapshot.Generation; f.pinned && now != f.base {
+		return config.Result{ID: id, Outcome: config.Rejected, Generation: now}, &config.RaceError{Base: f.base, Now: now}
+	}
 	return config.Apply(ctx, table, base, next, id)
 }
 
@@ -210,29 +241,25 @@
 	var race *config.RaceError
 	var fenced *config.FencedError
 	var unknown *config.UnknownError
-	var problems config.Problems
+	var coded *exitError
 	switch {
+	case errors.As(err, &coded):
+		return coded.code
 	case errors.As(err, &race), errors.As(err, &fenced):
 		return exitConflict
 	case errors.As(err, &unknown):
 		return exitUnknown
-	case errors.As(err, &problems):
-		return exitUsage
 	}
 	return exitBroken
 }
 
 // await asks the daemons until all instances have the generation.
-func (f *applyFlags) await(cmd *cobra.Command, generation uint64) error {
-	addresses, err := f.addresses()
-	if err != nil {
-		return err
-	}
+func (f *applyFlags) await(cmd *cobra.Command, daemons []string, generation uint64) error {
 	deadline := time.Now().Add(f.timeout)
 	var last []config.DataCentreStatus
 	for i := 0; time.Now().Before(deadline); i++ {
 		var now []config.DataCentreStatus
-		if err := ask(addresses[i%len(addresses)], instance.PathConfirmed, &now); err == nil {
+		if err := ask(daemons[i%len(daemons)], instance.PathConfirmed, &now); err == nil {
 			last = now
 		}
 		if everywhere(last, generation) {
--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -69,7 +70,7 @@
 		Use:     "status",
 		Short:   "Show what daemons know: configuration, gates, members, shares, links",
 		Example: "  wisteriafold status --operator 127.0.0.1:7401\n  wisteriafold status --settings-dir examples/kurume/daemons --json",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 	}
 	f.flags(c)
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -127,7 +128,7 @@
 		Use:     "explain REQUEST_ID",
 		Short:   "Show a request's story from the daemons that saw it",
 		Example: "  wisteriafold explain 5f0c6d0e5a1b2c3d --settings-dir examples/kurume/daemons",
-		Args:    cobra.ExactArgs(1),
+		Args:    usage(cobra.ExactArgs(1)),
 	}
 	f.flags(c)
 	c.RunE = func(cmd *cobra.Command, args []string) error {
@@ -139,7 +140,7 @@
 		var faults []error
 		for _, a := range addresses {
 			var ds []instance.Decision
-			if err := ask(a, instance.PathExplain+"?id="+args[0], &ds); err != nil {
+			if err := ask(a, instance.PathExplain+"?id="+url.QueryEscape(args[0]), &ds); err != nil {
 				faults = append(faults, err)
 				continue
 			}
--- a/cmd/wisteriafold/key.go
+++ b/cmd/wisteriafold/key.go
@@ -19,7 +19,7 @@
 		Short:   "Make a key and print it with its digest",
 		Long:    "key new prints a key, which goes to the organisation and is kept nowhere else, and its digest, which goes into the configuration.",
 		Example: "  wisteriafold key new",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			key, id, err := organisation.NewKey(rand.Reader)
 			if err != nil {
--- a/cmd/wisteriafold/main.go
+++ b/cmd/wisteriafold/main.go
@@ -40,6 +40,11 @@
 	return &exitError{code, err}
 }
 
+// usage gives a check of arguments the exit code of wrong arguments.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error { return withCode(exitUsage, check(c, args)) }
+}
+
 func main() { os.Exit(mainCode()) }
 
 func mainCode() int {
@@ -48,6 +53,14 @@
 		return exitOK
 	}
 	fmt.Fprintln(os.Stderr, "wisteriafold:", err)
+	return codeOf(err)
+}
+
+// codeOf returns the exit code that tells what kind of error ended a command.
+func codeOf(err error) int {
+	if err == nil {
+		return exitOK
+	}
 	var coded *exitError
 	if errors.As(err, &coded) {
 		return coded.code
@@ -69,6 +82,8 @@
 Exit codes: 0 success, 1 failed, 2 wrong arguments or configuration, 3 lost a
 race with another apply, 4 outcome of the apply unknown, 5 accepted but not
 confirmed everywhere in time.`,
+		Args:          usage(cobra.NoArgs),
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/cmd/wisteriafold/try.go
+++ b/cmd/wisteriafold/try.go
@@ -23,7 +23,7 @@
 platform off, applies a change and shuts a daemon down. The last line is JSON;
 the exit code is 1 when an invariant is broken.`,
 		Example: "  wisteriafold try --deployment kurume\n  wisteriafold try --deployment linie --duration 30s --log decisions.jsonl",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 	}
 	c.Flags().StringVar(&opt.Deployment, "deployment", "kurume", "kurume or linie")
 	c.Flags().DurationVar(&opt.Duration, "duration", 10*time.Second, "how long to send traffic")
--- a/cmd/wisteriafoldd/main.go
+++ b/cmd/wisteriafoldd/main.go
@@ -22,6 +22,13 @@
 )
 
 func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wisteriafoldd:", err)
+		os.Exit(codeOf(err))
+	}
+}
+
+func command() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
 		Use:           "wisteriafoldd --settings FILE",
@@ -35,10 +42,7 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
 	_ = cmd.MarkFlagRequired("settings") // the flag exists
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "wisteriafoldd:", err)
-		os.Exit(codeOf(err))
-	}
+	return cmd
 }
 
 func codeOf(err error) int {
