--- /dev/null
+++ b/try/try_test.go
@@ -0,0 +1,136 @@
+package try
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"wisteriafold/config"
+	"wisteriafold/instance"
+	"wisteriafold/standin"
+)
+
+const (
+	patience = time.Minute // of a test that waits for what must come; never asserted
+	look     = 20 * time.Millisecond
+)
+
+// admission is one step of a script for the checker.
+type admission struct {
+	at   time.Duration // since the start
+	n    int           // admissions, or tokens given back when negative
+	over int           // overshoot that must show from now on
+}
+
+func TestExcess(t *testing.T) {
+	const ms = time.Millisecond
+	scripts := map[string][]admission{ // rate 10, burst 5
+		"exact fill":             {{0, 5, 0}, {100 * ms, 1, 0}, {300 * ms, 2, 0}, {1300 * ms, 5, 0}, {1400 * ms, 1, 0}},
+		"one over the burst":     {{0, 6, 1}},
+		"one over the rate":      {{0, 5, 0}, {100 * ms, 2, 1}, {time.Minute, 0, 1}},
+		"a window after a pause": {{0, 1, 0}, {time.Hour, 5, 0}, {time.Hour + 100*ms, 3, 2}},
+		"given back in time":     {{0, 5, 0}, {10 * ms, -1, 0}, {20 * ms, 1, 0}},
+		"given back too late":    {{0, 5, 0}, {10 * ms, 1, 0}, {10 * ms, 1, 1}, {20 * ms, -1, 1}},
+	}
+	for name, script := range scripts {
+		e := newExcess(&config.Configuration{Organisations: []config.Organisation{{Name: "museum", Rate: 10, Burst: 5}, {Name: "idle", Rate: 1, Burst: 1}}})
+		for _, step := range script {
+			for range step.n {
+				e.admitted("museum", e.started.Add(step.at))
+			}
+			for range -step.n {
+				e.givenBack("museum", e.started.Add(step.at))
+			}
+			require.Equal(t, step.over, e.overshoot(), "%s at %s", name, step.at)
+		}
+	}
+}
+
+func TestJudgeNamesEachBrokenInvariant(t *testing.T) {
+	broken := map[string]func(*Summary){ // text of the invariant -> what breaks it
+		"wrong or cut answers":           func(s *Summary) { s.WrongAnswers = 7 },
+		"second runs":                    func(s *Summary) { s.SecondRuns = 7 },
+		"told not-run":                   func(s *Summary) { s.FalseNotRun = 7 },
+		"a key reached a backend server": func(s *Summary) { s.KeysSeen = 7 },
+		"more than its contract":         func(s *Summary) { s.Overshoot = 7 },
+		"shutdowns cut a request":        func(s *Summary) { s.CutAtShutdown = 7 },
+		"a drained backend server":       func(s *Summary) { s.WorkAfterDrain = 7 },
+		"no request completed":           func(s *Summary) { s.Completed = 0 },
+		"a withdrawn key":                func(s *Summary) { s.KeyWithdrawn = 99 },
+		"to be in force":                 func(s *Summary) { s.InForce = 99 },
+	}
+	for text, breakIt := range broken {
+		s := Summary{Completed: 1}
+		breakIt(&s)
+		s.judge()
+		require.Len(t, s.Broken, 1, text)
+		require.Contains(t, s.Broken[0], text)
+	}
+	s := Summary{Completed: 1}
+	s.judge()
+	require.Empty(t, s.Broken)
+}
+
+// TestRun makes a whole run. It holds the invariants only, no time.
+func TestRun(t *testing.T) {
+	sum, err := Run(Options{Deployment: "kurume", Duration: MinDuration, Seed: 1, Progress: io.Discard, Log: io.Discard})
+	require.NoError(t, err)
+	require.Empty(t, sum.Broken)
+	var out bytes.Buffer
+	require.NoError(t, sum.Print(&out))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	var last map[string]any
+	require.NoError(t, json.Unmarshal([]byte(lines[len(lines)-1]), &last))
+	for _, name := range []string{
+		"requests", "completed", "refused_not_run", "unknown", "wrong_answers", "second_runs",
+		"keys_seen_by_backends", "contract_overshoot", "refused_within_rate", "added_p99_ms",
+	} {
+		require.Contains(t, last, name)
+	}
+	require.NotZero(t, sum.Kinds["once"].Completed)
+}
+
+// TestInjectedFaultsBreakARun gives a backend server an order twice and a key,
+// past its daemon, and admits one organisation beyond its contract.
+func TestInjectedFaultsBreakARun(t *testing.T) {
+	d, err := start("kurume", io.Discard)
+	require.NoError(t, err)
+	require.NoError(t, d.ready())
+	s := &script{opt: Options{Progress: io.Discard}, d: d, started: time.Now()}
+	s.t = startTraffic([]string{d.sites[0].caller}, kinds(d.conf, d.keys), 1)
+	require.Eventually(t, func() bool { return s.t.callers.Tallies()["read"].Completed > 0 }, patience, look)
+	s.t.stop()
+
+	past := d.sites[1]
+	for range 2 {
+		require.Equal(t, fasthttp.StatusOK, order(t, past.direct))
+	}
+	first := d.conf.Organisations[0]
+	for range int(first.Burst + first.Rate*patience.Seconds()) {
+		d.excess.admitted(first.Name, time.Now())
+	}
+	sum, err := s.finish()
+	require.NoError(t, err)
+	require.Equal(t, 1, sum.SecondRuns)
+	require.Equal(t, 2, sum.KeysSeen)
+	require.Positive(t, sum.Overshoot)
+	require.Len(t, sum.Broken, 3)
+}
+
+// order sends one order with a key to an address.
+func order(t *testing.T, address string) int {
+	t.Helper()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://" + address + "/order")
+	req.Header.Set(standin.HeaderOrder, "forged")
+	req.Header.Set(instance.HeaderKey, "wfk_forged")
+	require.NoError(t, fasthttp.DoTimeout(&req, &resp, patience))
+	return resp.StatusCode()
+}
