try: notice is judged against the target, not against 2 s of real time

Cause: a run failed when a withdrawn key or a configuration took more than 2 s of wall-clock time to be known everywhere. Likewise a start was given 20 s, of which the fences of a cold start alone take 14, and a graceful shutdown was cut after 5 s whatever the daemon's settings allowed.

Change: key_withdrawn_s, drained_s and in_force_s are still measured, printed and in the JSON. They are judged against 12 s, the stated target for a configuration to be in force everywhere; drained_s was not judged at all. A start has a failsafe of a minute. A graceful shutdown has the time that limits.shutdown gives it, and still must cut nothing.

--- a/try/deployment.go
+++ b/try/deployment.go
@@ -24,7 +24,7 @@
 const (
 	serviceTime    = 3 * time.Millisecond
 	platformWait   = 2 * time.Second
-	readyWithin    = 20 * time.Second
+	readyWithin    = time.Minute // failsafe, several times what the fences of a cold start take
 	readyLook      = 50 * time.Millisecond
 	operationLimit = 5 * time.Second
 )
@@ -261,7 +261,7 @@
 }
 
 func (s *site) shutdown() error {
-	ctx, cancel := context.WithTimeout(context.Background(), operationLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), s.set.Limits.Shutdown)
 	defer cancel()
 	s.stopped = true
 	return s.daemon.Shutdown(ctx)
--- a/try/script.go
+++ b/try/script.go
@@ -27,7 +27,15 @@
 	// MinDuration is the shortest traffic in which every step has its time.
 	MinDuration = 4 * time.Second
 
-	noticeWithin = 2 * time.Second // bound on a withdrawn key or a drained endpoint
+	// noticeFailsafe is the target for a configuration to be in force everywhere.
+	// A run in real time judges notice of a withdrawn key, a drained endpoint or
+	// a configuration by it alone: how long notice takes here depends on the
+	// machine's load, and a verdict must not. The bound of 2 s on a change of
+	// configuration, a withdrawn key included, is judged in bench, in virtual
+	// time (config-in-force).
+	noticeFailsafe = 12 * time.Second
+
+	drainSettle  = 500 * time.Millisecond // least time from the drain until work counts as late
 	probeEvery   = 50 * time.Millisecond
 	probeTimeout = 3 * time.Second
 )
@@ -116,15 +124,15 @@
 }
 
 // until polls done and returns the time since start at which it held, or a
-// time beyond noticeWithin when it did not.
+// time beyond noticeFailsafe when it did not.
 func (s *script) until(start time.Time, done func() bool) time.Duration {
-	for time.Since(start) < noticeWithin {
+	for time.Since(start) < noticeFailsafe {
 		if done() {
 			return time.Since(start)
 		}
 		time.Sleep(probeEvery)
 	}
-	return time.Since(start) + noticeWithin
+	return time.Since(start) + noticeFailsafe
 }
 
 func (s *script) refusedEverywhere(key string) bool {
@@ -156,7 +164,7 @@
 }
 
 // drainEndpoint lets one backend server say that it leaves and checks that it
-// gets no new work after noticeWithin.
+// gets no new work afterwards.
 func (s *script) drainEndpoint() error {
 	x := s.d.sites[len(s.d.sites)-1]
 	x.backend.Drain()
@@ -165,7 +173,7 @@
 		st, err := x.daemon.Status(time.Second)
 		return err == nil && st.Gate.Draining && st.Gate.InFlight == 0
 	})
-	time.Sleep(max(0, noticeWithin/4-time.Since(began)))
+	time.Sleep(max(0, drainSettle-time.Since(began)))
 	before := x.backend.Served()
 	time.Sleep(s.opt.Duration / 16)
 	s.sum.WorkAfterDrain = x.backend.Served() - before
--- a/try/summary.go
+++ b/try/summary.go
@@ -87,8 +87,9 @@
 	check(s.Overshoot <= 0, "an organisation got %d requests more than its contract", s.Overshoot)
 	check(s.CutAtShutdown == 0, "%d graceful shutdowns cut a request", s.CutAtShutdown)
 	check(s.WorkAfterDrain == 0, "%d calls reached a drained backend server", s.WorkAfterDrain)
-	check(s.KeyWithdrawn <= noticeWithin.Seconds(), "a withdrawn key was taken for %.2f s", s.KeyWithdrawn)
-	check(s.InForce <= noticeWithin.Seconds(), "a configuration took %.2f s to be in force", s.InForce)
+	check(s.KeyWithdrawn <= noticeFailsafe.Seconds(), "a withdrawn key was taken for %.2f s", s.KeyWithdrawn)
+	check(s.Drained <= noticeFailsafe.Seconds(), "a backend server took %.2f s to drain", s.Drained)
+	check(s.InForce <= noticeFailsafe.Seconds(), "a configuration took %.2f s to be in force", s.InForce)
 	check(s.Completed > 0, "no request completed")
 }
 
