wisteriafold: status columns fit their contents, with level and announcement

Cause: instance names over 14 characters, as the examples have them, broke the columns of status, and the level of a gate and whether its endpoint is known to registrars were only in the JSON.

Change: the table is written with text/tabwriter. LEVEL tells what the gate sheds (open, shut, or a class and a part of it), ANNOUNCED how many registrars hold the endpoint in its newest state; AGE says never where nothing confirmed the configuration yet. The JSON is as it was.

--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/instance"
+	"wisteriafold/request"
 )
 
 const askTimeout = 3 * time.Second
@@ -96,19 +98,52 @@
 	return c
 }
 
+// cellGap is the number of spaces between two columns.
+const cellGap = 2
+
+// statusText returns a table with a line for each daemon.
 func statusText(all []instance.Status) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-14s %-12s %-12s %4s %8s %9s %9s %10s %s\n",
-		"INSTANCE", "DATA CENTRE", "SERVICE", "GEN", "AGE", "IN FLIGHT", "QUEUED", "LIMIT", "STATE")
+	w := tabwriter.NewWriter(&b, 0, 0, cellGap, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tSERVICE\tGENERATION\tAGE\tIN FLIGHT\tQUEUED\tLIMIT\tLEVEL\tANNOUNCED\tSTATE")
 	for i := range all {
 		s := &all[i]
-		fmt.Fprintf(&b, "%-14s %-12s %-12s %4d %8s %9d %9d %10d %s\n",
-			s.Instance, s.DataCentre, s.Backend.Service, s.Config.Generation, s.Config.Age.Round(time.Millisecond),
-			s.Gate.InFlight, s.Gate.Queued, s.Gate.Limit, stateOf(s))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
+			s.Instance, s.DataCentre, s.Backend.Service, s.Config.Generation, ageOf(s),
+			s.Gate.InFlight, s.Gate.Queued, s.Gate.Limit, levelText(s.Gate.Level), announcedText(s), stateOf(s))
 	}
+	_ = w.Flush() // a strings.Builder takes everything
 	return strings.TrimRight(b.String(), "\n")
 }
 
+// ageOf returns the age of the daemon's knowledge of the configuration.
+func ageOf(s *instance.Status) string {
+	if !s.Config.Confirmed {
+		return "never"
+	}
+	return s.Config.Age.Round(time.Millisecond).String()
+}
+
+// levelText tells which calls a gate sheds: none, all, or those below a class
+// and a part of that class.
+func levelText(level request.Priority) string {
+	switch {
+	case level == request.LevelOpen:
+		return "open"
+	case level >= request.LevelShut:
+		return "shut"
+	}
+	return fmt.Sprintf("%s %d%%", level.Importance(), 100*(level%request.ClassWidth)/request.ClassWidth)
+}
+
+// announcedText tells how many registrars hold the endpoint in its newest state.
+func announcedText(s *instance.Status) string {
+	if s.Members.Announced == nil {
+		return "no"
+	}
+	return fmt.Sprintf("to %d", len(s.Members.Acknowledged))
+}
+
 func stateOf(s *instance.Status) string {
 	switch {
 	case s.Stopping:
--- a/cmd/wisteriafold/main_test.go
+++ b/cmd/wisteriafold/main_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,6 +20,8 @@
 	"wisteriafold/platform"
 	"wisteriafold/platform/httpapi"
 	"wisteriafold/platform/memory"
+	"wisteriafold/request"
+	"wisteriafold/service"
 )
 
 // configurationText is a valid configuration whose organisation has a rate of 20.
@@ -255,6 +258,41 @@
 	require.Contains(t, out, "# generation 2\n")
 }
 
+func TestStatusColumnsFitLongNames(t *testing.T) {
+	long := instance.Status{Instance: "kumamoto-2-commissions-replacement-0042", DataCentre: "kumamoto-2"}
+	long.Gate.Level = request.ClassWidth + request.ClassWidth/4
+	long.Members.Announced = &service.Endpoint{Service: "commissions"}
+	long.Members.Acknowledged = []string{"10.0.0.1:7301", "10.0.0.2:7301"}
+	long.Backend = instance.BackendStatus{Service: "commissions", Announced: true}
+	short := instance.Status{Instance: "a", DataCentre: "east-1", Stopping: true}
+	short.Gate.Level = request.LevelShut
+	args := []string{"status", "--operator", operator(t, map[string]any{instance.PathStatus: long}) + "," + operator(t, map[string]any{instance.PathStatus: short})}
+	out, _, err := command(args...)
+	require.NoError(t, err)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	require.Len(t, lines, 3)
+	for column, cells := range map[string][2]string{
+		"DATA CENTRE": {"kumamoto-2 ", "east-1 "},
+		"AGE":         {"never ", "never "},
+		"LEVEL":       {request.Importance(1).String() + " 25% ", "shut "},
+		"ANNOUNCED":   {"to 2 ", "no "},
+		"STATE":       {"serving", "shutting down"},
+	} {
+		at := strings.Index(lines[0], column)
+		require.True(t, strings.HasPrefix(lines[1][at:], cells[0]), lines[1])
+		require.True(t, strings.HasPrefix(lines[2][at:], cells[1]), lines[2])
+	}
+	var all []instance.Status
+	succeed(t, &all, args...)
+	require.Equal(t, long.Members.Acknowledged, all[0].Members.Acknowledged)
+
+	// A daemon that does not answer is named, and the others are shown.
+	out, code, err := command("status", "--operator", args[2]+","+operator(t, nil))
+	require.ErrorContains(t, err, "it answered 404")
+	require.Equal(t, exitBroken, code)
+	require.Contains(t, out, long.Instance)
+}
+
 func TestExplain(t *testing.T) {
 	_, code, err := command("explain", "5f0c", "--operator", operator(t, map[string]any{instance.PathExplain: []instance.Decision{}}))
 	require.ErrorContains(t, err, "5f0c")
