--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -136,7 +136,7 @@
 // while requests run on its backend server and arrive everywhere, and starts
 // another in its place.
 func TestRollingReplacementUnderLoadCutsNothing(t *testing.T) {
-	f, err := newFleet()
+	f, err := newFleet(fleetConfig)
 	require.NoError(t, err)
 	f.handle(t, "front", echo)
 	l := startLoad(t, f)
@@ -158,3 +158,23 @@
 	require.Zero(t, f.excess.overshoot())
 	require.NoError(t, f.stop())
 }
+
+// TestFirstCallToAServiceWaitsForItsEndpoints runs daemons that know of so many
+// services that they subscribe only to those that they call.
+func TestFirstCallToAServiceWaitsForItsEndpoints(t *testing.T) {
+	text := fleetConfig + "---\nservices:\n"
+	for i := range 40 {
+		text += fmt.Sprintf("  - name: other-%d\n", i)
+	}
+	f, err := newFleet(text)
+	require.NoError(t, err)
+	for entry, path := range map[int]string{0: "/deep", 2: "/read"} {
+		var a answer
+		require.Eventually(t, func() bool { // until the young fleet's contract is in use
+			a = f.send(t, entry, "GET", path, nil, f.keyed()...)
+			return a.header.Get(instance.HeaderReason) != "over-rate"
+		}, patience, 10*time.Millisecond)
+		require.Equal(t, 200, a.status, a.body)
+	}
+	require.NoError(t, f.stop())
+}
--- a/instance/control.go
+++ b/instance/control.go
@@ -41,6 +41,7 @@
 	draining  bool // the backend server or this daemon is leaving
 	absent    int  // refused connections in a row
 	gateNext  time.Time
+	idleNext  time.Time
 	farewell  chan struct{} // closed when shares and roster are given up
 	contracts uint64        // generation that the share machine works with
 }
@@ -124,6 +125,7 @@
 		c.gateNext = now.Add(gateTick)
 		c.d.gate.Tick()
 	}
+	c.dropIdleTargets(now)
 	c.tickFarewell(now)
 }
 
@@ -181,8 +183,10 @@
 		c.contracts = s.Generation
 		c.setContracts(now, s)
 	}
-	for i := range s.Configuration.Services {
-		c.members.Subscribe(now, s.Configuration.Services[i].Name)
+	if c.subscribesToAll() {
+		for i := range s.Configuration.Services {
+			c.members.Subscribe(now, s.Configuration.Services[i].Name)
+		}
 	}
 	c.d.log.Info("configuration in force", "instance", c.d.set.Instance, "generation", s.Generation, "withdrawn_early", len(withdrawn))
 }
--- a/instance/forward.go
+++ b/instance/forward.go
@@ -29,7 +29,7 @@
 	var tried []string
 	var lost *failure // an attempt that may have run
 	for {
-		ep, dec, err := d.pick(t, out.call, tried)
+		ep, dec, err := d.pick(ctx, t, out.call, tried)
 		if err != nil {
 			return nil, worse(lost, &failure{err: request.AsError(err)})
 		}
--- a/instance/remote.go
+++ b/instance/remote.go
@@ -89,10 +89,11 @@
 		e.Cause = err
 		return &failure{err: e, transport: true}
 	}
+	silent := eris.Is(err, link.ErrSilent) // a call that timed out on it may carry both
 	switch {
-	case eris.Is(ctx.Err(), context.DeadlineExceeded), eris.Is(err, context.DeadlineExceeded):
+	case !silent && (eris.Is(ctx.Err(), context.DeadlineExceeded) || eris.Is(err, context.DeadlineExceeded)):
 		return &failure{err: request.Lose(request.ReasonDeadline, "no answer came in time, the work may have been done", err)}
-	case ctx.Err() != nil:
+	case !silent && ctx.Err() != nil:
 		return &failure{err: request.Lose(request.ReasonCancelled, "the caller went away", err)}
 	default:
 		return &failure{
