--- a/contract/borrower.go
+++ b/contract/borrower.go
@@ -31,7 +31,8 @@
 	lastAsk  time.Time
 	refused  int64
 	missedAt time.Time
-	missed   bool // a request was refused a moment ago: the next one should find a token
+	chunk    float64 // most tokens that one request asked for lately
+	missed   bool    // a request was refused a moment ago: the next one should find a token
 	parts    []*part
 	removed  bool
 }
@@ -126,6 +127,10 @@
 			d.lastAsk = now
 		}
 		d.asked = asked
+		d.chunk = max(float64(d.gauge.largest.Swap(0)), d.chunk)
+		if now.Sub(d.lastAsk) > activeFor {
+			d.chunk = 0
+		}
 		if refused := d.gauge.refused.Load(); refused != d.refused {
 			d.refused, d.missedAt = refused, now
 		}
@@ -141,7 +146,11 @@
 		return Amount{}
 	}
 	rate := min(onGrid(d.rate*demandSlack), d.contract.Rate)
-	return Amount{rate, capFor(lentRate(rate))}
+	room := capFor(lentRate(rate))
+	if d.chunk > 1 {
+		room += d.chunk
+	}
+	return Amount{rate, min(room, d.contract.Burst)}
 }
 
 // onGrid rounds a rate up to a step, so that small changes need no message.
@@ -169,8 +178,8 @@
 	soon := (d.rate - have.Rate) * needHorizon.Seconds()
 	level = max(0, level)
 	wait := float64(d.gauge.waiting.Load())
-	if d.missed {
-		wait = max(wait, 1)
+	if d.missed || d.chunk > 1 {
+		wait = max(wait, d.chunk) // the next one of that size finds its tokens
 	}
 	return max(0, math.Ceil(wait-level), math.Floor(soon-level))
 }
--- a/contract/fleet_test.go
+++ b/contract/fleet_test.go
@@ -89,3 +89,22 @@
 	}
 	require.InDelta(t, 100, rate, 1e-6, "all shares are held again, long before the fence time")
 }
+
+// A link is a contract whose tokens are bytes, taken in pieces of any size.
+func TestLinkCarriesLargePieces(t *testing.T) {
+	const bytesPerSecond, piece = 3_750_000, 64 << 10
+	f := scenario.New(steady(1, 4, 2), []contract.Contract{org("link", bytesPerSecond, bytesPerSecond, 4)})
+	sent := 0
+	for f.Now < 10*time.Second {
+		f.Run(func() {
+			d := f.Daemons[0]
+			if f.Now%(50*time.Millisecond) == 0 && d.Machine.Limiter().TakeN(d.Clock(), "link", piece).OK {
+				f.Check.Admit(f.Now, "link", piece)
+				sent += piece
+			}
+		})
+	}
+	require.NoError(t, f.Check.Violation)
+	const offered, running = piece * 20, 6 // bytes per second, seconds after the start
+	require.Greater(t, float64(sent), 0.9*offered*running)
+}
--- a/contract/limiter.go
+++ b/contract/limiter.go
@@ -33,6 +33,7 @@
 	waiters atomic.Int64
 	taken   atomic.Int64
 	refused atomic.Int64
+	largest atomic.Int64 // most tokens that one request asked for since control looked
 	view    atomic.Pointer[view]
 }
 
@@ -62,7 +63,7 @@
 	if g == nil {
 		return Verdict{RetryAfter: retryMost}
 	}
-	g.asked.Add(n)
+	g.ask(n)
 	v := l.take(now, g, n)
 	if !v.OK {
 		g.refused.Add(n)
@@ -70,6 +71,14 @@
 	return v
 }
 
+// ask tells control what a request wants.
+func (g *gauge) ask(n int64) {
+	g.asked.Add(n)
+	if n > g.largest.Load() {
+		g.largest.Store(n)
+	}
+}
+
 func (l *Limiter) take(now time.Time, g *gauge, n int64) Verdict {
 	at, units := int64(now.Sub(l.epoch)), n*micro
 	vw := g.view.Load()
@@ -110,7 +119,7 @@
 	if w.gauge == nil {
 		return w, Verdict{RetryAfter: retryMost}
 	}
-	w.gauge.asked.Add(n)
+	w.gauge.ask(n)
 	v := l.take(now, w.gauge, n)
 	if v.OK {
 		return w, v
