--- a/contract/borrowing.go
+++ b/contract/borrowing.go
@@ -313,7 +313,7 @@
 	}
 	b.owner.renewed(s)
 	if slices.ContainsFunc(s.listed, func(id uint64) bool { return s.debts[id] != nil && !s.debts[id].told }) {
-		s.due = now // hand back at once what a cut has left over
+		s.due = now.Add(askSpacing) // hand back soon what a cut has left over
 	}
 	s.next = now.Add(askSpacing)
 	b.clean(s)
