try: the heavy organisation's orders count as over rate

Cause: orders of the organisation that sends five times its rate were counted as refused within rate. Change: all of its requests are of the kind over-rate.

--- a/try/traffic.go
+++ b/try/traffic.go
@@ -27,16 +27,17 @@
 	read, once, open, upload := pickRoutes(conf)
 	for i := range conf.Organisations {
 		o := &conf.Organisations[i]
+		reads, orders := "read", "once"
 		rate := o.Rate * readPart
-		name := "read"
 		if i == len(conf.Organisations)-1 {
-			rate, name = o.Rate*heavyFactor, heavyKind
+			reads, orders = heavyKind, heavyKind
+			rate = o.Rate * heavyFactor
 		}
 		out = append(out, standin.Kind{
-			Name: name, Method: "GET", Path: read.Prefix + "/1", Chain: chainFrom(conf, read.Service),
+			Name: reads, Method: "GET", Path: read.Prefix + "/1", Chain: chainFrom(conf, read.Service),
 			Key: keys[o.Name], Owner: o.Name, Rate: rate, Retries: retries,
 		}, standin.Kind{
-			Name: "once", Method: "POST", Path: once.Prefix, Chain: chainFrom(conf, once.Service),
+			Name: orders, Method: "POST", Path: once.Prefix, Chain: chainFrom(conf, once.Service),
 			Key: keys[o.Name], Owner: o.Name, Rate: onceRate, Once: true, Retries: retries,
 		})
 	}
