backend: overload stands after 150 ms without an empty queue

Cause: bursts within the organisations' rates keep the queue of a gate busy for 100 ms now and then; new trees were then refused after a short wait.

--- a/backend/config.go
+++ b/backend/config.go
@@ -10,15 +10,15 @@
 
 	Queue     int           // most calls that wait; default 2 * Slots, at least 16
 	MaxWait   time.Duration // longest wait of any call; default 1 s
-	Interval  time.Duration // time for which sojourn must stay over the target before overload counts as standing; default 100 ms
-	MinTarget time.Duration // least sojourn target; the target is the service time when that is larger; default 5 ms
+	Interval  time.Duration // time for which the queue must not run empty before overload counts as standing; default 150 ms
+	MinTarget time.Duration // least time by which the wait of a new tree may exceed Interval then; the service time when that is larger; default 5 ms
 	Window    time.Duration // time between two changes of the admission level; default 100 ms
 	Cold      int           // limit of a backend server that has shown nothing yet; default Slots / 8, at least 2
 }
 
 const (
 	defaultMaxWait   = time.Second
-	defaultInterval  = 100 * time.Millisecond
+	defaultInterval  = 150 * time.Millisecond
 	defaultMinTarget = 5 * time.Millisecond
 	defaultWindow    = 100 * time.Millisecond
 	minQueue         = 16
