--- a/contract/borrower.go
+++ b/contract/borrower.go
@@ -29,6 +29,9 @@
 	rate     float64 // predicted tokens per second
 	asked    int64
 	lastAsk  time.Time
+	refused  int64
+	missedAt time.Time
+	missed   bool // a request was refused a moment ago: the next one should find a token
 	parts    []*part
 	removed  bool
 }
@@ -40,6 +43,7 @@
 	limiter *Limiter
 	demands map[uint64]*demand
 	ids     []uint64
+	active  []uint64         // contracts with requests or loans
 	holders [Groups][]string // of the daemon's data centre
 	debts   *borrowing
 	sampled time.Time
@@ -122,6 +126,10 @@
 			d.lastAsk = now
 		}
 		d.asked = asked
+		if refused := d.gauge.refused.Load(); refused != d.refused {
+			d.refused, d.missedAt = refused, now
+		}
+		d.missed = !d.missedAt.IsZero() && now.Sub(d.missedAt) < emptyFor
 		d.rate += (rate - d.rate) * weight
 	}
 }
@@ -159,7 +167,12 @@
 		return 0
 	}
 	soon := (d.rate - have.Rate) * needHorizon.Seconds()
-	return math.Ceil(max(0, float64(d.gauge.waiting.Load())-max(0, level), soon-max(0, level)))
+	level = max(0, level)
+	wait := float64(d.gauge.waiting.Load())
+	if d.missed {
+		wait = max(wait, 1)
+	}
+	return max(0, math.Ceil(wait-level), math.Floor(soon-level))
 }
 
 func (d *demand) part(lender string) *part {
@@ -191,7 +204,7 @@
 func (b *Borrower) wants(now time.Time, lender string) []uint64 {
 	var ids []uint64
 	at := int64(now.Sub(b.cfg.Epoch))
-	for _, id := range b.ids {
+	for _, id := range b.active {
 		d := b.demands[id]
 		if b.lender(now, d) != lender {
 			continue
@@ -313,6 +326,13 @@
 // tick asks for what is needed.
 func (b *Borrower) tick(now time.Time) {
 	b.sample(now)
+	b.active = b.active[:0]
+	for _, id := range b.ids {
+		d := b.demands[id]
+		if len(d.parts) > 0 || d.gauge.waiting.Load() > 0 || (!d.lastAsk.IsZero() && now.Sub(d.lastAsk) <= activeFor) {
+			b.active = append(b.active, id)
+		}
+	}
 	b.pump(now)
 }
 
--- a/instance/ready.go
+++ b/instance/ready.go
@@ -41,7 +41,7 @@
 		return fmt.Sprintf("members: %d of %d are on the rosters", known, members)
 	}
 	for _, svc := range s.Configuration.Services {
-		if len(c.members.Snapshot().Endpoints(svc.Name)) == 0 {
+		if c.subscribesToAll() && len(c.members.Snapshot().Endpoints(svc.Name)) == 0 {
 			return "endpoints of " + svc.Name
 		}
 	}
--- a/instance/target.go
+++ b/instance/target.go
@@ -1,8 +1,11 @@
 package instance
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"wisteriafold/request"
 	"wisteriafold/service"
@@ -11,11 +14,21 @@
 const (
 	defaultRetryRatio = 0.1 // retries to first attempts, for services without a setting
 	retryBurst        = 10  // retries that a daemon may save for one service
+
+	// eagerServices is the number of configured services up to which a daemon
+	// subscribes to all of them; above it, to those that it calls.
+	eagerServices = 32
+
+	newTarget  = 500 * time.Millisecond // a call waits so long for the first endpoints of a service
+	targetLook = 10 * time.Millisecond
+	targetIdle = 10 * time.Minute // without calls, after which the subscription ends
 )
 
 // target is a service that this daemon calls.
 type target struct {
 	name   string
+	born   time.Time
+	used   atomic.Int64 // nanoseconds from the daemon's epoch to the last call
 	picker *service.Picker
 	budget *service.RetryBudget
 	rngs   sync.Pool // of *rand.Rand, one goroutine at a time
@@ -33,6 +46,7 @@
 	}
 	t := &target{
 		name:   name,
+		born:   d.now(),
 		picker: service.NewPicker(d.now(), service.DefaultConfig(), d.self, d.random()),
 		budget: service.NewRetryBudget(ratio, retryBurst),
 	}
@@ -46,10 +60,47 @@
 	return got.(*target)
 }
 
-// pick chooses an endpoint of the service for the next attempt of a call.
-func (d *Daemon) pick(t *target, call *request.Call, tried []string) (service.Endpoint, service.Decision, error) {
+// pick chooses an endpoint of the service for the next attempt of a call. For a
+// service that is called for the first time it waits shortly for endpoints.
+func (d *Daemon) pick(ctx context.Context, t *target, call *request.Call, tried []string) (service.Endpoint, service.Decision, error) {
 	rng := t.rngs.Get().(*rand.Rand)
 	defer t.rngs.Put(rng)
 	d.stats.attempts.Add(1)
-	return t.picker.Pick(d.now(), rng, call, tried)
+	for {
+		now := d.now()
+		t.used.Store(int64(now.Sub(d.epoch)))
+		ep, dec, err := t.picker.Pick(now, rng, call, tried)
+		if err == nil || len(tried) > 0 || now.Sub(t.born) > newTarget {
+			return ep, dec, err
+		}
+		select {
+		case <-ctx.Done():
+			return ep, dec, err
+		case <-time.After(targetLook):
+		}
+	}
+}
+
+// dropIdleTargets ends the subscriptions to services that are no longer called.
+func (c *control) dropIdleTargets(now time.Time) {
+	if now.Before(c.idleNext) {
+		return
+	}
+	c.idleNext = now.Add(targetIdle / 10)
+	since := int64(now.Sub(c.d.epoch) - targetIdle)
+	c.d.targets.Range(func(name, v any) bool {
+		if t := v.(*target); t.used.Load() < since {
+			c.d.targets.Delete(name)
+			if !c.subscribesToAll() {
+				c.members.Unsubscribe(now, t.name)
+			}
+		}
+		return true
+	})
+}
+
+// subscribesToAll reports whether the daemon keeps the endpoints of every
+// configured service.
+func (c *control) subscribesToAll() bool {
+	return len(c.spread.Snapshot().Configuration.Services) <= eagerServices
 }
