--- a/bench/measure.go
+++ b/bench/measure.go
@@ -142,6 +142,7 @@
 		{Name: "region-loss", Run: regionLoss},
 		{Name: "configuration", Run: Configuration},
 		{Name: "path", Run: path},
+		{Name: "contracts", Run: contracts},
 	}
 }
 
