standin: a test of an answer with the head of another

Cause: with the check of an answer's head taken out, TestJudge still passed; every foreign answer in it had a foreign tail as well.

Change: a case with the head of another answer and the own tail. With the check taken out it fails.

--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -87,6 +87,7 @@
 		"of a longer number":  {"answered", "n77\narchive\n0\nxxx\nn77", 200, false, true},
 		"cut":                 {"answered", whole[:len(whole)-1], 200, false, true},
 		"two answers mixed":   {"answered", "n7\narchive\n0\nxxx\nn8", 200, false, true},
+		"head of another":     {"answered", "n8\narchive\n0\nxxx\nn7", 200, false, true},
 		"empty":               {"answered", "", 200, false, true},
 		"failure of the page": {"answered", "no", 502, false, false},
 		"refusal":             {"not-run", "", 503, false, false},
