--- a/backend/level.go
+++ b/backend/level.go
@@ -45,7 +45,7 @@
 	largeError  = 1.5                   // factor from which an error is corrected at once
 	riseMost    = 0.05                  // least part of the calls that one rise leaves
 	holdWindows = 2                     // windows for which the level holds after a large correction
-	queueWait   = 20 * time.Millisecond // wait that corresponds to the target length of the queue
+	queueWait   = 40 * time.Millisecond // wait that corresponds to the target length of the queue
 	queueGain   = 0.3                   // part of the queue's error that one window corrects
 	following   = 0.4                   // part of compliant calls from which entries count as following
 	openLeast   = 0.002                 // open part that a class starts with, and that a rise leaves for feedback
