YAML faults name their line; claims are explained; ready means tokens

Cause: for broken YAML the library names the line of the enclosing block; the operators' page told of a claim command that did not exist; Ready passed before any contract was in use; a token given back could be admitted before the checker heard of it. Conclusion: Parse and ParseSettings use one search.

--- a/cmd/wisteriafold/main.go
+++ b/cmd/wisteriafold/main.go
@@ -91,7 +91,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return withCode(exitUsage, err) })
 	root.AddCommand(
 		checkCommand(), applyCommand(), diffCommand(), showCommand(),
-		statusCommand(), explainCommand(), keyCommand(), tryCommand(),
+		statusCommand(), explainCommand(), claimCommand(), keyCommand(), tryCommand(),
 	)
 	return root
 }
--- a/config/load.go
+++ b/config/load.go
@@ -97,8 +97,8 @@
 			return
 		}
 		if err != nil {
-			line := 0
-			if m := yamlLine.FindStringSubmatch(err.Error()); m != nil {
+			line := SyntaxLine(data)
+			if m := yamlLine.FindStringSubmatch(err.Error()); m != nil && line == 0 {
 				line, _ = strconv.Atoi(m[1])
 			}
 			l.rep.add(name, line, "not valid YAML: "+err.Error(), "mend the syntax at or just above this line")
--- a/instance/admit.go
+++ b/instance/admit.go
@@ -46,10 +46,10 @@
 		e.d.hooks.Admitted(e.call.Organisation, e.d.now())
 	}
 	return func() {
-		e.d.limiter.GiveBack(v)
-		if e.d.hooks.GivenBack != nil {
+		if e.d.hooks.GivenBack != nil { // first: the token may be taken again at once
 			e.d.hooks.GivenBack(e.call.Organisation, e.d.now())
 		}
+		e.d.limiter.GiveBack(v)
 	}, nil
 }
 
--- a/instance/claims.go
+++ b/instance/claims.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wisteriafold/claim"
 	"wisteriafold/config"
 	"wisteriafold/datacentre"
@@ -62,17 +62,19 @@
 	return e.runHeld(ctx, held)
 }
 
+// claimKey identifies the request. The digest, by which the reuse of a key for
+// another request is noticed, covers the body when it came whole, and of a body
+// that streams its declared size.
 func (e *entry) claimKey(value []byte) claim.Key {
-	sum := xxhash.Sum64(e.out.body.inline)
-	digest := []byte{
-		byte(sum), byte(sum >> 8), byte(sum >> 16), byte(sum >> 24),
-		byte(sum >> 32), byte(sum >> 40), byte(sum >> 48), byte(sum >> 56),
-	}
+	body := e.out.body
+	h := sha256.New()
+	h.Write(body.inline)
+	h.Write(binary.BigEndian.AppendUint64(nil, uint64(body.size)))
 	return claim.Key{
 		Organisation: e.call.Organisation,
 		Route:        e.match.Route,
 		Value:        string(value),
-		Digest:       claim.Digest(e.out.head.Method, e.out.head.Path, digest),
+		Digest:       claim.Digest(e.out.head.Method, e.out.head.Path, h.Sum(nil)),
 	}
 }
 
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -27,6 +28,10 @@
 	// PathConfirmed asks all data centres which generation they have confirmed
 	// and returns []config.DataCentreStatus as JSON.
 	PathConfirmed = "/confirmed"
+
+	// PathClaim tells the state of an idempotency key, as claim.Explanation:
+	// ?organisation=&route=&key=.
+	PathClaim = "/claim"
 )
 
 // Status is what one daemon knows about itself and its surroundings.
@@ -95,6 +100,8 @@
 		writeJSON(hc, st)
 	case PathConfirmed:
 		writeJSON(hc, d.Confirmed(confirmWait))
+	case PathClaim:
+		d.serveClaim(hc)
 	case PathExplain:
 		writeJSON(hc, d.Explain(string(hc.QueryArgs().Peek("id"))))
 	case PathVars:
@@ -110,6 +117,22 @@
 // Explain returns the kept decisions about one request, oldest first.
 func (d *Daemon) Explain(id string) []Decision { return d.decisions.explain(id) }
 
+func (d *Daemon) serveClaim(hc *fasthttp.RequestCtx) {
+	args := hc.QueryArgs()
+	ctx, cancel := context.WithTimeout(d.background, statusTimeout)
+	defer cancel()
+	x, err := d.claims.claims.Explain(ctx, claim.Key{
+		Organisation: string(args.Peek("organisation")),
+		Route:        string(args.Peek("route")),
+		Value:        string(args.Peek("key")),
+	})
+	if err != nil {
+		hc.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(hc, x)
+}
+
 func writeJSON(hc *fasthttp.RequestCtx, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/instance/ready.go
+++ b/instance/ready.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -22,12 +23,30 @@
 	d.post(asked)
 	select {
 	case lack := <-asked.reply:
-		return lack
+		if lack != "" {
+			return lack
+		}
+		return d.lacksTokens()
 	case <-time.After(statusTimeout):
 		return "an answer of its control goroutine"
 	}
 }
 
+// lacksTokens takes a token of every contract and gives it back. It names the
+// first that this daemon can't get one of.
+func (d *Daemon) lacksTokens() string {
+	ctx, cancel := context.WithTimeout(d.background, statusTimeout)
+	defer cancel()
+	for _, o := range d.view.Load().snap.Configuration.Organisations {
+		v, err := d.limiter.Wait(ctx, o.Name)
+		if err != nil {
+			return "tokens for " + o.Name
+		}
+		d.limiter.GiveBack(v)
+	}
+	return ""
+}
+
 func (c *control) lacks(now time.Time, members int) string {
 	s := c.spread.Snapshot()
 	if s.Generation == 0 {
--- a/instance/refusal_test.go
+++ b/instance/refusal_test.go
@@ -85,7 +85,7 @@
 func TestSettingsNameFileLineAndRemedy(t *testing.T) {
 	for text, want := range map[string]string{
 		"instance: a\nregoin: b\n":                  "line 2",
-		"instance: a\nregion: [\n":                  "correct the line",
+		"instance: a\nregion: [\nlog_level: info\n": "d.yaml:2: ",
 		"instance: a\nregion: b\ndata_centre: c\n":  "listen.callers is missing",
 		"instance: a\nlimits: {shutdown: 1ms}\n":    "region is missing",
 		"instance: a\nregion: b\nlog_level: loud\n": "data_centre is missing",
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
+
+	"wisteriafold/config"
 )
 
 // Settings is what one daemon is told by its file. Everything that is the same
@@ -147,7 +149,7 @@
 	dec := yaml.NewDecoder(bytes.NewReader(text))
 	dec.KnownFields(true)
 	if err := dec.Decode(&s); err != nil {
-		return Settings{}, &SettingsError{File: file, What: err.Error(), Remedy: "correct the line; the fields are listed in docs/OPERATORS.md"}
+		return Settings{}, &SettingsError{File: file, Line: config.SyntaxLine(text), What: err.Error(), Remedy: "correct the line; the fields are listed in docs/OPERATORS.md"}
 	}
 	var root yaml.Node
 	_ = yaml.Unmarshal(text, &root) // the text has just been decoded
@@ -155,7 +157,7 @@
 		return Settings{}, settingsFault(file, &root, err)
 	}
 	if err := s.checkTogether(); err != nil {
-		return Settings{}, &SettingsError{File: file, What: err.Error(), Remedy: "correct the fields named"}
+		return Settings{}, &SettingsError{File: file, Line: config.SyntaxLine(text), What: err.Error(), Remedy: "correct the fields named"}
 	}
 	return s, nil
 }
