--- a/bench/measure.go
+++ b/bench/measure.go
@@ -144,6 +144,7 @@
 		{Name: "liar", Run: liar},
 		{Name: "region-loss", Run: regionLoss},
 		{Name: "configuration", Run: Configuration},
+		{Name: "contracts", Run: contracts},
 		{Name: "path", Run: path, RealTime: true},
 	}
 }
--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"path/filepath"
 	"slices"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/instance"
+	"wisteriafold/request"
 )
 
 const askTimeout = 3 * time.Second
@@ -69,7 +72,7 @@
 		Use:     "status",
 		Short:   "Show what daemons know: configuration, gates, members, shares, links",
 		Example: "  wisteriafold status --operator 127.0.0.1:7401\n  wisteriafold status --settings-dir examples/kurume/daemons --json",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 	}
 	f.flags(c)
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -95,19 +98,52 @@
 	return c
 }
 
+// cellGap is the number of spaces between two columns.
+const cellGap = 2
+
+// statusText returns a table with a line for each daemon.
 func statusText(all []instance.Status) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-14s %-12s %-12s %4s %8s %9s %9s %10s %s\n",
-		"INSTANCE", "DATA CENTRE", "SERVICE", "GEN", "AGE", "IN FLIGHT", "QUEUED", "LIMIT", "STATE")
+	w := tabwriter.NewWriter(&b, 0, 0, cellGap, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tSERVICE\tGENERATION\tAGE\tIN FLIGHT\tQUEUED\tLIMIT\tLEVEL\tANNOUNCED\tSTATE")
 	for i := range all {
 		s := &all[i]
-		fmt.Fprintf(&b, "%-14s %-12s %-12s %4d %8s %9d %9d %10d %s\n",
-			s.Instance, s.DataCentre, s.Backend.Service, s.Config.Generation, s.Config.Age.Round(time.Millisecond),
-			s.Gate.InFlight, s.Gate.Queued, s.Gate.Limit, stateOf(s))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
+			s.Instance, s.DataCentre, s.Backend.Service, s.Config.Generation, ageOf(s),
+			s.Gate.InFlight, s.Gate.Queued, s.Gate.Limit, levelText(s.Gate.Level), announcedText(s), stateOf(s))
 	}
+	_ = w.Flush() // a strings.Builder takes everything
 	return strings.TrimRight(b.String(), "\n")
 }
 
+// ageOf returns the age of the daemon's knowledge of the configuration.
+func ageOf(s *instance.Status) string {
+	if !s.Config.Confirmed {
+		return "never"
+	}
+	return s.Config.Age.Round(time.Millisecond).String()
+}
+
+// levelText tells which calls a gate sheds: none, all, or those below a class
+// and a part of that class.
+func levelText(level request.Priority) string {
+	switch {
+	case level == request.LevelOpen:
+		return "open"
+	case level >= request.LevelShut:
+		return "shut"
+	}
+	return fmt.Sprintf("%s %d%%", level.Importance(), 100*(level%request.ClassWidth)/request.ClassWidth)
+}
+
+// announcedText tells how many registrars hold the endpoint in its newest state.
+func announcedText(s *instance.Status) string {
+	if s.Members.Announced == nil {
+		return "no"
+	}
+	return fmt.Sprintf("to %d", len(s.Members.Acknowledged))
+}
+
 func stateOf(s *instance.Status) string {
 	switch {
 	case s.Stopping:
@@ -127,7 +163,7 @@
 		Use:     "explain REQUEST_ID",
 		Short:   "Show a request's story from the daemons that saw it",
 		Example: "  wisteriafold explain 5f0c6d0e5a1b2c3d --settings-dir examples/kurume/daemons",
-		Args:    cobra.ExactArgs(1),
+		Args:    usage(cobra.ExactArgs(1)),
 	}
 	f.flags(c)
 	c.RunE = func(cmd *cobra.Command, args []string) error {
@@ -139,7 +175,7 @@
 		var faults []error
 		for _, a := range addresses {
 			var ds []instance.Decision
-			if err := ask(a, instance.PathExplain+"?id="+args[0], &ds); err != nil {
+			if err := ask(a, instance.PathExplain+"?id="+url.QueryEscape(args[0]), &ds); err != nil {
 				faults = append(faults, err)
 				continue
 			}
