capacity: slopes in time are medians with their spread

Cause: two runs differed by more than the residual of a fit says. Change: five runs for slopes in time; the error column gives half the distance between their extremes where that is larger. Conclusion: the page states what two runs can differ by.

--- a/bench/capacity/fit.go
+++ b/bench/capacity/fit.go
@@ -1,8 +1,10 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -48,20 +50,38 @@
 	Run   func() ([]Point, error)
 }
 
-// Measured is a slope with its fit.
+// timedRuns is the number of times that a slope in time is measured.
+const timedRuns = 5
+
+// Measured is a slope with the median fit of its runs.
 type Measured struct {
 	Slope
 	Fit
+	Error float64 // half the distance between the runs' extremes, or the residual, as a part of the median
 }
 
-// Measure runs one slope.
+// Measure runs one slope; one in time several times, because it depends on what
+// else the machine does.
 func (s Slope) Measure() (Measured, error) {
-	points, err := s.Run()
-	if err != nil {
-		return Measured{}, fmt.Errorf("slope %s: %w", s.Name, err)
+	runs := 1
+	if s.Scale != 1 {
+		runs = timedRuns
+	}
+	fits := make([]Fit, 0, runs)
+	for range runs {
+		points, err := s.Run()
+		if err != nil {
+			return Measured{}, fmt.Errorf("slope %s: %w", s.Name, err)
+		}
+		fits = append(fits, FitLine(points))
+	}
+	slices.SortFunc(fits, func(a, b Fit) int { return cmp.Compare(a.Slope, b.Slope) })
+	f := fits[len(fits)/2]
+	m := Measured{s, f, f.Residual}
+	if spread := (fits[len(fits)-1].Slope - fits[0].Slope) / 2; f.Slope != 0 {
+		m.Error = max(m.Error, math.Abs(spread/f.Slope))
 	}
-	f := FitLine(points)
-	f.Base *= s.Scale
-	f.Slope *= s.Scale
-	return Measured{s, f}, nil
+	m.Base *= s.Scale
+	m.Fit.Slope *= s.Scale
+	return m, nil
 }
--- a/bench/capacity/report.go
+++ b/bench/capacity/report.go
@@ -26,12 +26,12 @@
 }
 
 func writeSlopes(w io.Writer, all []Measured) error {
-	if _, err := fmt.Fprintf(w, "## Measured slopes\n\n| slope | what | base | slope | unit | residual | range |\n| --- | --- | --- | --- | --- | --- | --- |\n"); err != nil {
+	if _, err := fmt.Fprintf(w, "## Measured slopes\n\n| slope | what | base | slope | unit | error | range |\n| --- | --- | --- | --- | --- | --- | --- |\n"); err != nil {
 		return err
 	}
 	for _, m := range all {
 		_, err := fmt.Fprintf(w, "| `%s` | %s | %s | %s | %s | %.1f %% | %s to %s |\n",
-			m.Name, m.What, short(m.Base), short(m.Fit.Slope), m.Unit, 100*m.Residual, short(m.From), short(m.To))
+			m.Name, m.What, short(m.Base), short(m.Fit.Slope), m.Unit, 100*m.Error, short(m.From), short(m.To))
 		if err != nil {
 			return err
 		}
