One checker of contracts for try and the daemon's tests; names of the field

Cause: the checker of admissions stood twice, in try and in the daemon's tests; some names were metaphors (claimDesk, lastWords, farewell, hope, hurry, debts). Change: standin.Excess with its test, moved unchanged but for the package; names claimRunner, leaveFleet, backOff, noteShort, borrowed. Conclusion: the strictness of the checker is that of its one test.

--- a/bench/capacity/slopes.go
+++ b/bench/capacity/slopes.go
@@ -122,14 +122,14 @@
 	return out, err
 }
 
-// nowhere takes lines; unlike io.Discard, the log library formats them for it.
-type nowhere struct{}
+// discard takes lines; unlike io.Discard, the log library formats them for it.
+type discard struct{}
 
 // Write implements io.Writer.
-func (nowhere) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
 
 func logLines() ([]Point, error) {
-	return perCount(instance.DecisionWriter(nowhere{})), nil
+	return perCount(instance.DecisionWriter(discard{})), nil
 }
 
 func spreadChanges() ([]Point, error) {
--- a/contract/borrower.go
+++ b/contract/borrower.go
@@ -40,14 +40,14 @@
 // Borrower borrows for the traffic of one daemon. It belongs to the control
 // goroutine; traffic uses its Limiter.
 type Borrower struct {
-	cfg     *Config
-	limiter *Limiter
-	demands map[uint64]*demand
-	ids     []uint64
-	active  []uint64         // contracts with requests or loans
-	holders [Groups][]string // of the daemon's data centre
-	debts   *borrowing
-	sampled time.Time
+	cfg      *Config
+	limiter  *Limiter
+	demands  map[uint64]*demand
+	ids      []uint64
+	active   []uint64         // contracts with requests or loans
+	holders  [Groups][]string // of the daemon's data centre
+	borrowed *borrowing
+	sampled  time.Time
 }
 
 func newBorrower(cfg *Config, send func(string, *wire.Loan)) *Borrower {
@@ -55,7 +55,7 @@
 	b.limiter = &Limiter{epoch: cfg.Epoch, maxWait: cfg.MaxWait, wake: make(chan struct{}, 1)}
 	empty := make(map[string]*gauge)
 	b.limiter.gauges.Store(&empty)
-	b.debts = newBorrowing(cfg, b, false, send)
+	b.borrowed = newBorrowing(cfg, b, false, send)
 	return b
 }
 
@@ -101,7 +101,7 @@
 func (b *Borrower) lender(now time.Time, d *demand) string {
 	all := b.preferred(d)
 	for _, addr := range all {
-		if s := b.debts.sessions[addr]; s == nil || s.silent < silentAsks || now.Sub(s.askedAt) > retrySilent {
+		if s := b.borrowed.sessions[addr]; s == nil || s.silent < silentAsks || now.Sub(s.askedAt) > retrySilent {
 			return addr
 		}
 	}
@@ -235,7 +235,7 @@
 	if rate > have.Rate*(1+2*demandGrid) {
 		return true
 	}
-	s := b.debts.sessions[lender]
+	s := b.borrowed.sessions[lender]
 	empty := have.Cap - max(level, capFor(have.Rate))
 	return empty >= 0.5 && s != nil && now.Sub(s.askedAt) >= emptyFor
 }
@@ -317,7 +317,7 @@
 // renewed moves the expiry of every loan of the session.
 func (b *Borrower) renewed(s *session) {
 	until := int64(s.until.Sub(b.cfg.Epoch))
-	for id := range s.debts {
+	for id := range s.borrowed {
 		if p := b.demands[id].part(s.lender); p != nil {
 			p.until.Store(until)
 		}
@@ -351,5 +351,5 @@
 		lenders = append(lenders, b.holders[g]...)
 	}
 	slices.Sort(lenders)
-	b.debts.pump(now, slices.Compact(lenders))
+	b.borrowed.pump(now, slices.Compact(lenders))
 }
--- a/contract/borrowing.go
+++ b/contract/borrowing.go
@@ -50,8 +50,8 @@
 	drop(now time.Time, s *session, id uint64, from Amount)
 }
 
-// debt is one contract that a session has borrowed.
-type debt struct {
+// borrowedPart is one contract that a session has borrowed.
+type borrowedPart struct {
 	Amount
 	asked Amount // what was wanted in all, as last told to the lender
 	told  bool   // the lender has confirmed the last reduction
@@ -66,21 +66,21 @@
 
 // session is the borrower's side of all loans from one lender.
 type session struct {
-	lender  string
-	id      uint64
-	number  uint64
-	seen    uint64
-	waiting bool
-	askedAt time.Time
-	until   time.Time // expiry of its loans, zero without any grant
-	due     time.Time // next renewal
-	next    time.Time // earliest urgent ask
-	silent  int       // asks without an answer, in a row
-	debts   map[uint64]*debt
-	back    map[uint64]float64 // tokens handed back in this session, by contract
-	spare   map[uint64]float64 // tokens per second that the lender could still lend
-	listed  []uint64           // contracts in the outstanding ask
-	retries map[uint64]*retry  // contracts that were asked for in vain
+	lender   string
+	id       uint64
+	number   uint64
+	seen     uint64
+	waiting  bool
+	askedAt  time.Time
+	until    time.Time // expiry of its loans, zero without any grant
+	due      time.Time // next renewal
+	next     time.Time // earliest urgent ask
+	silent   int       // asks without an answer, in a row
+	borrowed map[uint64]*borrowedPart
+	back     map[uint64]float64 // tokens handed back in this session, by contract
+	spare    map[uint64]float64 // tokens per second that the lender could still lend
+	listed   []uint64           // contracts in the outstanding ask
+	retries  map[uint64]*retry  // contracts that were asked for in vain
 }
 
 // borrowing keeps the sessions of one owner with its lenders.
@@ -121,7 +121,7 @@
 	s.number, s.seen = 0, 0
 	s.waiting = false
 	s.until = time.Time{}
-	s.debts = make(map[uint64]*debt)
+	s.borrowed = make(map[uint64]*borrowedPart)
 	s.back = make(map[uint64]float64)
 	s.listed = nil
 }
@@ -141,8 +141,8 @@
 }
 
 func (b *borrowing) end(now time.Time, s *session) {
-	for _, id := range slices.Sorted(maps.Keys(s.debts)) {
-		b.owner.drop(now, s, id, s.debts[id].Amount)
+	for _, id := range slices.Sorted(maps.Keys(s.borrowed)) {
+		b.owner.drop(now, s, id, s.borrowed[id].Amount)
 	}
 	s.restart(b.cfg.Rand)
 }
@@ -151,7 +151,7 @@
 // has no loans.
 func (b *borrowing) forget(keep func(lender string) bool) {
 	b.order = slices.DeleteFunc(b.order, func(s *session) bool {
-		gone := !keep(s.lender) && len(s.debts) == 0
+		gone := !keep(s.lender) && len(s.borrowed) == 0
 		if gone {
 			delete(b.sessions, s.lender)
 		}
@@ -185,7 +185,7 @@
 	if s.waiting {
 		return
 	}
-	renew := len(s.debts) > 0 && !now.Before(s.due)
+	renew := len(s.borrowed) > 0 && !now.Before(s.due)
 	var urgent []uint64
 	if !b.stopped && !now.Before(s.next) {
 		urgent = slices.DeleteFunc(b.owner.wants(now, s.lender), func(id uint64) bool {
@@ -199,9 +199,9 @@
 }
 
 func (b *borrowing) ask(now time.Time, s *session, urgent []uint64) {
-	ids := slices.Sorted(maps.Keys(s.debts))
+	ids := slices.Sorted(maps.Keys(s.borrowed))
 	for _, id := range urgent {
-		if s.debts[id] == nil {
+		if s.borrowed[id] == nil {
 			ids = append(ids, id)
 		}
 	}
@@ -209,7 +209,7 @@
 	ask := &wire.LoanAsk{Session: s.id, Number: s.number, Seen: s.seen, Holder: b.holder}
 	s.listed = s.listed[:0]
 	for _, id := range ids {
-		if len(s.listed) == maxWants && s.debts[id] == nil {
+		if len(s.listed) == maxWants && s.borrowed[id] == nil {
 			continue
 		}
 		if w := b.want(now, s, id, slices.Contains(urgent, id)); w != nil {
@@ -225,9 +225,9 @@
 
 // want makes the entry of one contract, nil when the lender need not hear of it.
 func (b *borrowing) want(now time.Time, s *session, id uint64, urgent bool) *wire.LoanWant {
-	d := s.debts[id]
+	d := s.borrowed[id]
 	if d == nil {
-		d = &debt{told: true}
+		d = &borrowedPart{told: true}
 	}
 	var w wish
 	if !b.stopped {
@@ -246,9 +246,9 @@
 		return nil
 	}
 	if w.need > 0 || w.want.Rate > w.keep.Rate || w.want.Cap > w.keep.Cap {
-		b.hope(now, s, id)
+		b.backOff(now, s, id)
 	}
-	s.debts[id] = d
+	s.borrowed[id] = d
 	d.asked = w.want
 	d.told = false
 	return &wire.LoanWant{
@@ -259,9 +259,9 @@
 	}
 }
 
-// hope doubles the time until the next urgent ask for a contract. A grant that
+// backOff doubles the time until the next urgent ask for a contract. A grant that
 // brings a good part of it ends the series.
-func (b *borrowing) hope(now time.Time, s *session, id uint64) {
+func (b *borrowing) backOff(now time.Time, s *session, id uint64) {
 	r := s.retries[id]
 	if r == nil {
 		r = &retry{gap: firstBackoff}
@@ -304,7 +304,7 @@
 	s.seen = g.Number
 	s.until = until
 	for _, id := range s.listed {
-		s.debts[id].told = !s.debts[id].owing
+		s.borrowed[id].told = !s.borrowed[id].owing
 	}
 	for _, e := range g.Given {
 		if b.take(now, s, e) {
@@ -312,7 +312,7 @@
 		}
 	}
 	b.owner.renewed(s)
-	if slices.ContainsFunc(s.listed, func(id uint64) bool { return s.debts[id] != nil && !s.debts[id].told }) {
+	if slices.ContainsFunc(s.listed, func(id uint64) bool { return s.borrowed[id] != nil && !s.borrowed[id].told }) {
 		s.due = now.Add(askSpacing) // hand back soon what a cut has left over
 	}
 	s.next = now.Add(askSpacing)
@@ -322,7 +322,7 @@
 // take applies one entry of a grant and reports whether it brought half of what
 // was wanted, or more.
 func (b *borrowing) take(now time.Time, s *session, e *wire.LoanGiven) bool {
-	d := s.debts[e.Contract]
+	d := s.borrowed[e.Contract]
 	if d == nil {
 		return false
 	}
@@ -342,12 +342,12 @@
 // clean forgets what is paid back and no longer wanted. A session without
 // loans starts afresh: nothing has to be renewed then.
 func (b *borrowing) clean(s *session) {
-	for id, d := range s.debts {
+	for id, d := range s.borrowed {
 		if d.told && d.Amount == (Amount{}) && d.asked == (Amount{}) {
-			delete(s.debts, id)
+			delete(s.borrowed, id)
 		}
 	}
-	if len(s.debts) == 0 {
+	if len(s.borrowed) == 0 {
 		s.restart(b.cfg.Rand)
 	}
 }
@@ -356,7 +356,7 @@
 func (b *borrowing) total(id uint64, end time.Time) Amount {
 	var sum Amount
 	for _, s := range b.order {
-		if d := s.debts[id]; d != nil && !s.until.Before(end) {
+		if d := s.borrowed[id]; d != nil && !s.until.Before(end) {
 			sum = sum.plus(d.Amount)
 		}
 	}
--- a/contract/holder.go
+++ b/contract/holder.go
@@ -38,12 +38,12 @@
 	peers    [Groups][]string     // holders of each group but this one, all data centres
 	slots    [Groups]slot
 
-	lendings map[lendKey]*lending
-	order    []*lending // the same, oldest first
-	lapseAt  time.Time  // when the next loan may be over, zero without any
-	debts    *borrowing
-	short    [Groups][]uint64 // contracts with more demand than the own share
-	hurried  bool             // short has grown since the last pump
+	lendings  map[lendKey]*lending
+	order     []*lending // the same, oldest first
+	lapseAt   time.Time  // when the next loan may be over, zero without any
+	borrowed  *borrowing
+	short     [Groups][]uint64 // contracts with more demand than the own share
+	askAtOnce bool             // short has grown since the last pump
 
 	generation uint64
 	heard      map[string]uint64 // incarnation last heard of at each address
@@ -70,7 +70,7 @@
 		stepped:  cfg.Epoch,
 		number:   1,
 	}
-	h.debts = newBorrowing(cfg, h, true, send)
+	h.borrowed = newBorrowing(cfg, h, true, send)
 	return h
 }
 
@@ -127,7 +127,7 @@
 		h.changed(now)
 	}
 	h.stepped = now
-	h.debts.expire(now)
+	h.borrowed.expire(now)
 	h.evaluate(now)
 	h.expireLent(now)
 }
@@ -161,11 +161,11 @@
 	return !h.left && (lack.Rate > a.in.Rate*cutSlack || lack.Cap > a.in.Cap*cutSlack+1 || a.short > a.level)
 }
 
-// hurry asks the other holders at once when an account has become short.
-func (h *Holder) hurry(a *account) {
+// noteShort asks the other holders at once when an account has become short.
+func (h *Holder) noteShort(a *account) {
 	if h.isShort(a) && !slices.Contains(h.short[a.group], a.id) {
 		h.short[a.group] = append(h.short[a.group], a.id)
-		h.hurried = true
+		h.askAtOnce = true
 	}
 }
 
@@ -177,7 +177,7 @@
 		}
 	}
 	slices.Sort(lenders)
-	h.debts.pump(now, slices.Compact(lenders))
+	h.borrowed.pump(now, slices.Compact(lenders))
 }
 
 // wants returns the contracts that are short and that the lender holds, too.
@@ -188,12 +188,12 @@
 			ids = append(ids, short...)
 		}
 	}
-	s := h.debts.sessions[lender]
+	s := h.borrowed.sessions[lender]
 	if now.Sub(s.askedAt) < surplusFor {
 		return ids
 	}
-	for _, id := range sortedKeys(s.debts) {
-		if s.debts[id].Cap >= 0.5 && h.hasSurplus(h.accounts[id]) {
+	for _, id := range sortedKeys(s.borrowed) {
+		if s.borrowed[id].Cap >= 0.5 && h.hasSurplus(h.accounts[id]) {
 			ids = append(ids, id)
 		}
 	}
@@ -258,7 +258,7 @@
 	even := 1 / float64(len(peers))
 	var sum, own float64
 	for _, p := range peers {
-		s := h.debts.sessions[p]
+		s := h.borrowed.sessions[p]
 		if s == nil {
 			return even
 		}
--- a/contract/lending.go
+++ b/contract/lending.go
@@ -224,7 +224,7 @@
 	for _, id := range l.pending {
 		h.rebook(now, l, id, l.loans[id])
 		h.accounts[id].clip()
-		h.hurry(h.accounts[id])
+		h.noteShort(h.accounts[id])
 		if ln := l.loans[id]; l.holder && ln.offered.Rate < ln.want.Rate {
 			h.nudge(now, h.accounts[id], l)
 		}
@@ -239,7 +239,7 @@
 
 // offer decides how much of an account a borrower gets until end.
 func (h *Holder) offer(a *account, l *lending, ln *loan, need float64, end time.Time) (Amount, float64) {
-	backing := a.base.plus(h.debts.total(a.id, end))
+	backing := a.base.plus(h.borrowed.total(a.id, end))
 	room := backing.minus(a.lent.minus(ln.booked)) // most that this borrower can have
 	avail, wants := backing.minus(a.lentHolders), a.wantDaemons
 	if l.holder {
--- a/contract/machine.go
+++ b/contract/machine.go
@@ -83,14 +83,14 @@
 			keep[p] = true
 		}
 	}
-	m.holder.debts.forget(func(l string) bool { return keep[l] })
-	m.borrower.debts.forget(func(l string) bool { return keep[l] })
+	m.holder.borrowed.forget(func(l string) bool { return keep[l] })
+	m.borrower.borrowed.forget(func(l string) bool { return keep[l] })
 	m.holder.evaluate(now)
 }
 
 // advance brings expiry, fences and shares up to now, before anything is decided.
 func (m *Machine) advance(now time.Time) {
-	m.borrower.debts.expire(now)
+	m.borrower.borrowed.expire(now)
 	m.holder.step(now)
 }
 
@@ -99,8 +99,8 @@
 	m.advance(now)
 	m.handle(now, from, msg)
 	m.drain(now)
-	if m.holder.hurried {
-		m.holder.hurried = false
+	if m.holder.askAtOnce {
+		m.holder.askAtOnce = false
 		m.holder.pump(now)
 		m.drain(now)
 	}
@@ -111,7 +111,7 @@
 	m.advance(now)
 	m.borrower.tick(now)
 	m.drain(now)
-	m.holder.hurried = false
+	m.holder.askAtOnce = false
 	m.holder.tick(now)
 	m.drain(now)
 }
@@ -131,10 +131,10 @@
 		m.holder.receiveAsk(now, from, k.Ask)
 	case *wire.Loan_Grant:
 		m.confirm(from, k.Grant)
-		m.holder.debts.receive(now, from, k.Grant)
-		m.borrower.debts.receive(now, from, k.Grant)
-		m.holder.debts.pumpOne(now, from)
-		m.borrower.debts.pumpOne(now, from)
+		m.holder.borrowed.receive(now, from, k.Grant)
+		m.borrower.borrowed.receive(now, from, k.Grant)
+		m.holder.borrowed.pumpOne(now, from)
+		m.borrower.borrowed.pumpOne(now, from)
 	case *wire.Loan_Query:
 		m.holder.receiveQuery(now, from, k.Query)
 	case *wire.Loan_Answer:
@@ -145,7 +145,7 @@
 // confirm takes over a lender's confirmation of the roster that both act on.
 func (m *Machine) confirm(from string, g *wire.LoanGrant) {
 	own := m.holder.rosters[m.cfg.DataCentre]
-	s := m.borrower.debts.sessions[from]
+	s := m.borrower.borrowed.sessions[from]
 	if from == m.cfg.Self || own == nil || s == nil || !s.waiting || g.Session != s.id || g.Ask != s.number || g.Roster != own.Version {
 		return
 	}
@@ -160,8 +160,8 @@
 func (m *Machine) Leave(now time.Time) {
 	m.advance(now)
 	m.holder.left = true
-	m.holder.debts.stopped = true
-	m.borrower.debts.stopped = true
+	m.holder.borrowed.stopped = true
+	m.borrower.borrowed.stopped = true
 	m.leftAt = now
 	m.holder.evaluate(now)
 }
--- a/contract/settle.go
+++ b/contract/settle.go
@@ -240,7 +240,7 @@
 // isSettled reports whether no more is lent than the share in force backs.
 func (h *Holder) isSettled(a *account) bool {
 	end := h.stepped.Add(h.cfg.LoanTTL + h.cfg.Margin)
-	backing := a.base.plus(h.debts.total(a.id, end))
+	backing := a.base.plus(h.borrowed.total(a.id, end))
 	return a.lent.within(backing, Amount{Rate: 1e-6, Cap: 1e-6})
 }
 
--- a/contract/status.go
+++ b/contract/status.go
@@ -68,8 +68,8 @@
 			}
 		}
 	}
-	out.Rebalancing = h.debts.status(now, func(id uint64) string { return h.accounts[id].contract.Name })
-	out.Borrowed = m.borrower.debts.status(now, func(id uint64) string { return m.borrower.demands[id].contract.Name })
+	out.Rebalancing = h.borrowed.status(now, func(id uint64) string { return h.accounts[id].contract.Name })
+	out.Borrowed = m.borrower.borrowed.status(now, func(id uint64) string { return m.borrower.demands[id].contract.Name })
 	for _, id := range m.borrower.ids {
 		d := m.borrower.demands[id]
 		out.Traffic = append(out.Traffic, TrafficStatus{
@@ -100,8 +100,8 @@
 func (b *borrowing) status(now time.Time, name func(uint64) string) []LoanStatus {
 	var out []LoanStatus
 	for _, s := range b.order {
-		for _, id := range sortedKeys(s.debts) {
-			if d := s.debts[id]; d.Amount != (Amount{}) {
+		for _, id := range sortedKeys(s.borrowed) {
+			if d := s.borrowed[id]; d.Amount != (Amount{}) {
 				out = append(out, LoanStatus{name(id), s.lender, b.holder, d.Amount, s.until.Sub(now)})
 			}
 		}
--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -155,7 +155,7 @@
 		l.served.Store(0)
 	}
 	l.end()
-	require.Zero(t, f.excess.overshoot())
+	require.Zero(t, f.excess.Overshoot())
 	require.NoError(t, f.stop())
 }
 
--- a/instance/claims.go
+++ b/instance/claims.go
@@ -28,16 +28,16 @@
 	claimsRoleName = "claims"
 )
 
-// claimDesk runs requests that carry an idempotency key at most once.
-type claimDesk struct {
+// claimRunner runs requests that carry an idempotency key at most once.
+type claimRunner struct {
 	d      *Daemon
 	claims *claim.Claims
 }
 
-func newClaimDesk(d *Daemon) *claimDesk {
+func newClaimRunner(d *Daemon) *claimRunner {
 	rng := rand.New(rand.NewPCG(d.random(), d.random()))
 	cfg := claim.Config{MaxAnswer: claimedAnswer}
-	return &claimDesk{d: d, claims: claim.New(cfg, d.table, d.objects, d.self.Peer, rng)}
+	return &claimRunner{d: d, claims: claim.New(cfg, d.table, d.objects, d.self.Peer, rng)}
 }
 
 // runClaimed runs a request, under a claim when it needs one.
--- a/instance/control.go
+++ b/instance/control.go
@@ -42,7 +42,7 @@
 	absent    int  // refused connections in a row
 	gateNext  time.Time
 	idleNext  time.Time
-	farewell  chan struct{} // closed when shares and roster are given up
+	left      chan struct{} // closed when shares and roster are given up
 	contracts uint64        // generation that the share machine works with
 }
 
@@ -126,7 +126,7 @@
 		c.d.gate.Tick()
 	}
 	c.dropIdleTargets(now)
-	c.tickFarewell(now)
+	c.tickLeaving(now)
 }
 
 // takeMembers passes on what has changed among the members.
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -77,7 +77,7 @@
 	entries   sync.Map // route -> *request.EntryControl
 	limiter   *contract.Limiter
 	budgets   *linkBudgets
-	claims    *claimDesk
+	claims    *claimRunner
 	pool      pond.Pool
 	control   *control
 
@@ -156,7 +156,7 @@
 	d.control = newControl(d)
 	d.limiter = d.control.shares.Limiter()
 	d.budgets = &linkBudgets{d: d}
-	d.claims = newClaimDesk(d)
+	d.claims = newClaimRunner(d)
 	return nil
 }
 
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -21,6 +21,7 @@
 	"wisteriafold/instance"
 	"wisteriafold/organisation"
 	"wisteriafold/platform/memory"
+	"wisteriafold/standin"
 )
 
 const (
@@ -39,7 +40,7 @@
 	sets    []instance.Settings
 	servers []*httptest.Server
 	added   int
-	excess  *excess
+	excess  *standin.Excess
 
 	mu       sync.Mutex
 	handlers map[string]http.HandlerFunc
@@ -72,9 +73,6 @@
 	os.Exit(code)
 }
 
-// museumRate is rate and burst of the organisation in fleetConfig.
-const museumRate = 5000
-
 const fleetConfig = `
 data_centres: [{name: east-1, region: east}]
 organisations: [{name: museum, rate: 5000, burst: 5000}]
@@ -88,12 +86,13 @@
 `
 
 func newFleet(text string) (*fleet, error) {
-	f := &fleet{store: memory.New(), handlers: make(map[string]http.HandlerFunc), excess: &excess{started: time.Now()}}
+	f := &fleet{store: memory.New(), handlers: make(map[string]http.HandlerFunc)}
 	conf, err := config.Parse(map[string][]byte{"fleet.yaml": []byte(text)})
 	if err != nil {
 		return nil, err
 	}
 	f.conf = conf
+	f.excess = standin.NewExcess(conf)
 	if f.key, err = f.newKey(); err != nil {
 		return nil, err
 	}
@@ -176,7 +175,7 @@
 	set.LogLevel = "warn"
 	d, err := instance.New(set, instance.Options{
 		Table: f.store, Objects: f.store.Objects(), Listeners: ls,
-		Hooks: instance.Hooks{Admitted: f.excess.admitted, GivenBack: f.excess.givenBack},
+		Hooks: instance.Hooks{Admitted: f.excess.Admitted, GivenBack: f.excess.GivenBack},
 	})
 	if err != nil {
 		return err
@@ -232,34 +231,6 @@
 	return nil
 }
 
-// excess watches the contract of the fleet's only organisation over every
-// window: admissions less rate times time, minus the least value of that before.
-type excess struct {
-	mu                sync.Mutex
-	started           time.Time
-	net, least, worst float64
-}
-
-func (e *excess) admitted(_ string, at time.Time) { e.count(at, 1) }
-
-func (e *excess) givenBack(_ string, at time.Time) { e.count(at, -1) }
-
-func (e *excess) count(at time.Time, n float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := at.Sub(e.started).Seconds() * museumRate
-	e.least = min(e.least, e.net-now)
-	e.net += n
-	e.worst = max(e.worst, e.net-now-e.least-museumRate)
-}
-
-// overshoot returns the whole requests beyond the contract.
-func (e *excess) overshoot() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return int(max(0, e.worst))
-}
-
 // answer is a response read to its end.
 type answer struct {
 	status  int
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -54,24 +54,24 @@
 
 func (leaving) apply(c *control, now time.Time) { c.backendLeaving(now) }
 
-// lastWords is the event that all calls have ended and the daemon goes. done is
+// leaveFleet is the event that all calls have ended and the daemon goes. done is
 // closed when its shares are given back and it is off the roster.
-type lastWords struct{ done chan struct{} }
+type leaveFleet struct{ done chan struct{} }
 
-func (e lastWords) apply(c *control, now time.Time) {
-	c.farewell = e.done
+func (e leaveFleet) apply(c *control, now time.Time) {
+	c.left = e.done
 	c.shares.Leave(now)
 }
 
-// tickFarewell leaves the roster once no share is left behind.
-func (c *control) tickFarewell(now time.Time) {
-	if c.farewell == nil || !c.shares.Left(now) {
+// tickLeaving leaves the roster once no share is left behind.
+func (c *control) tickLeaving(now time.Time) {
+	if c.left == nil || !c.shares.Left(now) {
 		return
 	}
 	c.members.Leave(now)
 	if c.members.Left() {
-		close(c.farewell)
-		c.farewell = nil
+		close(c.left)
+		c.left = nil
 	}
 }
 
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	done := make(chan struct{})
-	d.post(lastWords{done})
+	d.post(leaveFleet{done})
 	select {
 	case <-done:
 	case <-ctx.Done():
--- a/try/excess.go
+++ b/standin/excess.go
@@ -1,4 +1,4 @@
-package try
+package standin
 
 import (
 	"math"
@@ -8,39 +8,42 @@
 	"wisteriafold/config"
 )
 
-// excess checks every admission of all daemons against the contracts: over any
+// Excess checks every admission of all daemons against the contracts: over any
 // window, no more than rate times window plus burst. It is safe for concurrent
 // use.
-type excess struct {
+type Excess struct {
 	mu      sync.Mutex
 	started time.Time
-	of      map[string]*tally
+	of      map[string]*usage
 }
 
-// tally is the state for one organisation. The admissions less rate times time,
+// usage is the state for one organisation. The admissions less rate times time,
 // minus the least value that this ever had, is the largest use of any window
 // that ends now.
-type tally struct {
+type usage struct {
 	rate, burst float64
 	net         float64
 	least       float64
 	worst       float64
 }
 
-func newExcess(c *config.Configuration) *excess {
-	e := &excess{started: time.Now(), of: make(map[string]*tally)}
+// NewExcess returns a checker for the contracts of a configuration.
+func NewExcess(c *config.Configuration) *Excess {
+	e := &Excess{started: time.Now(), of: make(map[string]*usage)}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
-		e.of[o.Name] = &tally{rate: o.Rate, burst: o.Burst}
+		e.of[o.Name] = &usage{rate: o.Rate, burst: o.Burst}
 	}
 	return e
 }
 
-func (e *excess) admitted(name string, at time.Time) { e.count(name, at, 1) }
+// Admitted records that a token of an organisation was taken.
+func (e *Excess) Admitted(name string, at time.Time) { e.count(name, at, 1) }
 
-func (e *excess) givenBack(name string, at time.Time) { e.count(name, at, -1) }
+// GivenBack records that a token was returned: its request was not run.
+func (e *Excess) GivenBack(name string, at time.Time) { e.count(name, at, -1) }
 
-func (e *excess) count(name string, at time.Time, n float64) {
+func (e *Excess) count(name string, at time.Time, n float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := e.of[name]
@@ -53,9 +56,9 @@
 	t.worst = max(t.worst, t.net-now-t.least-t.burst)
 }
 
-// overshoot returns the most whole requests beyond a contract, over all
+// Overshoot returns the most whole requests beyond a contract, over all
 // organisations.
-func (e *excess) overshoot() int {
+func (e *Excess) Overshoot() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	worst := 0.0
--- /dev/null
+++ b/standin/excess_test.go
@@ -0,0 +1,41 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wisteriafold/config"
+)
+
+// admission is one step of a script for the checker.
+type admission struct {
+	at   time.Duration // since the start
+	n    int           // admissions, or tokens given back when negative
+	over int           // overshoot that must show from now on
+}
+
+func TestExcess(t *testing.T) {
+	const ms = time.Millisecond
+	scripts := map[string][]admission{ // rate 10, burst 5
+		"exact fill":             {{0, 5, 0}, {100 * ms, 1, 0}, {300 * ms, 2, 0}, {1300 * ms, 5, 0}, {1400 * ms, 1, 0}},
+		"one over the burst":     {{0, 6, 1}},
+		"one over the rate":      {{0, 5, 0}, {100 * ms, 2, 1}, {time.Minute, 0, 1}},
+		"a window after a pause": {{0, 1, 0}, {time.Hour, 5, 0}, {time.Hour + 100*ms, 3, 2}},
+		"given back in time":     {{0, 5, 0}, {10 * ms, -1, 0}, {20 * ms, 1, 0}},
+		"given back too late":    {{0, 5, 0}, {10 * ms, 1, 0}, {10 * ms, 1, 1}, {20 * ms, -1, 1}},
+	}
+	for name, script := range scripts {
+		e := NewExcess(&config.Configuration{Organisations: []config.Organisation{{Name: "museum", Rate: 10, Burst: 5}, {Name: "idle", Rate: 1, Burst: 1}}})
+		for _, step := range script {
+			for range step.n {
+				e.Admitted("museum", e.started.Add(step.at))
+			}
+			for range -step.n {
+				e.GivenBack("museum", e.started.Add(step.at))
+			}
+			require.Equal(t, step.over, e.Overshoot(), "%s at %s", name, step.at)
+		}
+	}
+}
--- a/try/deployment.go
+++ b/try/deployment.go
@@ -38,7 +38,7 @@
 	keys     map[string]string // organisation -> key made for this run
 	sites    []*site
 	ledger   *standin.Ledger
-	excess   *excess
+	excess   *standin.Excess
 }
 
 // site is one instance: a daemon and the backend server beside it.
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{conf: conf, keys: make(map[string]string), ledger: standin.NewLedger(), excess: newExcess(conf)}
+	d := &deployment{conf: conf, keys: make(map[string]string), ledger: standin.NewLedger(), excess: standin.NewExcess(conf)}
 	if err := d.addKeys(); err != nil {
 		return nil, err
 	}
@@ -206,7 +206,7 @@
 		Table:     client,
 		Objects:   client.Objects(),
 		Listeners: ls,
-		Hooks:     instance.Hooks{Admitted: d.excess.admitted, GivenBack: d.excess.givenBack},
+		Hooks:     instance.Hooks{Admitted: d.excess.Admitted, GivenBack: d.excess.GivenBack},
 	})
 	if err != nil {
 		return nil, err
--- a/try/summary.go
+++ b/try/summary.go
@@ -67,7 +67,7 @@
 	s.SecondRuns = totals.SecondRuns
 	s.KeysSeen = totals.KeysSeen
 	s.FalseNotRun = c.FalseNotRun(d.ledger, services)
-	s.Overshoot = d.excess.overshoot()
+	s.Overshoot = d.excess.Overshoot()
 	s.LatencyP50 = float64(c.Latency(50).Microseconds()) / 1000
 	s.LatencyP99 = float64(c.Latency(quantile).Microseconds()) / 1000
 	s.judge()
--- a/try/try_test.go
+++ b/try/try_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"wisteriafold/config"
 	"wisteriafold/instance"
 	"wisteriafold/standin"
 )
@@ -21,37 +20,6 @@
 	look     = 20 * time.Millisecond
 )
 
-// admission is one step of a script for the checker.
-type admission struct {
-	at   time.Duration // since the start
-	n    int           // admissions, or tokens given back when negative
-	over int           // overshoot that must show from now on
-}
-
-func TestExcess(t *testing.T) {
-	const ms = time.Millisecond
-	scripts := map[string][]admission{ // rate 10, burst 5
-		"exact fill":             {{0, 5, 0}, {100 * ms, 1, 0}, {300 * ms, 2, 0}, {1300 * ms, 5, 0}, {1400 * ms, 1, 0}},
-		"one over the burst":     {{0, 6, 1}},
-		"one over the rate":      {{0, 5, 0}, {100 * ms, 2, 1}, {time.Minute, 0, 1}},
-		"a window after a pause": {{0, 1, 0}, {time.Hour, 5, 0}, {time.Hour + 100*ms, 3, 2}},
-		"given back in time":     {{0, 5, 0}, {10 * ms, -1, 0}, {20 * ms, 1, 0}},
-		"given back too late":    {{0, 5, 0}, {10 * ms, 1, 0}, {10 * ms, 1, 1}, {20 * ms, -1, 1}},
-	}
-	for name, script := range scripts {
-		e := newExcess(&config.Configuration{Organisations: []config.Organisation{{Name: "museum", Rate: 10, Burst: 5}, {Name: "idle", Rate: 1, Burst: 1}}})
-		for _, step := range script {
-			for range step.n {
-				e.admitted("museum", e.started.Add(step.at))
-			}
-			for range -step.n {
-				e.givenBack("museum", e.started.Add(step.at))
-			}
-			require.Equal(t, step.over, e.overshoot(), "%s at %s", name, step.at)
-		}
-	}
-}
-
 func TestJudgeNamesEachBrokenInvariant(t *testing.T) {
 	broken := map[string]func(*Summary){ // text of the invariant -> what breaks it
 		"wrong or cut answers":           func(s *Summary) { s.WrongAnswers = 7 },
@@ -114,7 +82,7 @@
 	}
 	first := d.conf.Organisations[0]
 	for range int(first.Burst + first.Rate*patience.Seconds()) {
-		d.excess.admitted(first.Name, time.Now())
+		d.excess.Admitted(first.Name, time.Now())
 	}
 	sum, err := s.finish()
 	require.NoError(t, err)
