instance: the call benchmark has one daemon as well

Cause: the benchmark gave allocations for a direct call and for two daemons only; one daemon was measured for latency alone. Change: a service with one endpoint is called directly, by its own daemon and by another one. No check or bound changed.

--- a/instance/bench_test.go
+++ b/instance/bench_test.go
@@ -12,8 +12,9 @@
 func BenchmarkCall(b *testing.B) {
 	f := shared
 	for _, c := range []struct{ name, address, path string }{
-		{"direct", f.sets[0].Backend.Address, "/open"},
-		{"two-daemons", f.sets[2].Listen.Callers, "/open"},
+		{"direct", f.sets[2].Backend.Address, "/open-deep"},
+		{"one-daemon", f.sets[2].Listen.Callers, "/open-deep"},
+		{"two-daemons", f.sets[0].Listen.Callers, "/open-deep"},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			client := &fasthttp.HostClient{Addr: c.address}
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -82,6 +82,7 @@
   - {name: open, prefix: /open, methods: [GET], service: front, open: true}
   - {name: order, prefix: /order, methods: [POST], service: front, importance: critical, max_body: 1KiB}
   - {name: upload, prefix: /upload, methods: [POST], service: front, max_body: 128MiB}
+  - {name: open-deep, prefix: /open-deep, methods: [GET], service: deep, open: true}
   - {name: deep, prefix: /deep, methods: [GET, POST], service: deep}
 `
 
