link: nothing follows a write that failed on a stream

Cause: a yamux stream keeps one channel for the results of its writes. A write that times out leaves its message in the session's queue, and its result comes later; the next write on the stream takes that result for its own, returns early, and the one after it encodes its header over one that is still being read. Messages could reach the other daemon broken, or the session end. Seen as a data race while control messages met a connection without room.

Ruled out: link.conn (one writer, copies what it holds back), frame buffers (yamux copies the body of a message that times out).

Change: a session whose control stream failed a write is retired, so calls on it go on and the next message takes a fresh connection; a call's stream that failed a write fails its later ones.

Test: TestControlMessagesAfterATimedOutWriteArriveWhole (one direction takes nothing for longer than a write may wait).

--- /dev/null
+++ b/link/control_test.go
@@ -0,0 +1,77 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wisteriafold/wire"
+)
+
+// recorder keeps the organisations that token requests name.
+type recorder struct {
+	echo
+	mu  sync.Mutex
+	got []string
+}
+
+func (r *recorder) ReceiveControl(_ string, m *wire.Control) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, m.GetFleet().GetTokenRequest().GetOrganisation())
+}
+
+func tokenRequest(name string) *wire.Control {
+	return &wire.Control{Kind: &wire.Control_Fleet{Fleet: &wire.Fleet{Kind: &wire.Fleet_TokenRequest{TokenRequest: &wire.TokenRequest{Organisation: name}}}}}
+}
+
+// Pattern: one direction of a connection takes nothing for longer than a write
+// may wait, then goes on. The write that timed out is still done later; the
+// messages after it must arrive whole all the same.
+func TestControlMessagesAfterATimedOutWriteArriveWhole(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := newNetwork()
+		r := &recorder{}
+		// Shorter than a silent session takes to be replaced.
+		const writeTimeout = 300 * time.Millisecond
+		a := n.add(t, "a:1", &echo{}, func(c *Config) { c.WriteTimeout = writeTimeout })
+		b := n.add(t, "b:1", r, nil)
+		a.Send("b:1", tokenRequest("first"))
+		time.Sleep(100 * time.Millisecond)
+		p, err := a.peer("b:1")
+		require.NoError(t, err)
+		old := p.current.Load()
+		require.NotNil(t, old)
+
+		release := n.stall()
+		a.Send("b:1", tokenRequest("late"))
+		time.Sleep(2 * writeTimeout)
+		require.False(t, old.usable(), "nothing may follow a write that failed")
+		release()
+		want := map[string]bool{"first": true, "late": true}
+		for i := range 50 {
+			name := fmt.Sprintf("after-%02d", i)
+			want[name] = true
+			a.Send("b:1", tokenRequest(name))
+		}
+		time.Sleep(5 * time.Second)
+		r.mu.Lock()
+		seen := map[string]int{}
+		for _, name := range r.got {
+			require.True(t, want[name], "%q was never sent", name)
+			seen[name]++
+		}
+		r.mu.Unlock()
+		for i := range 50 {
+			require.Equal(t, 1, seen[fmt.Sprintf("after-%02d", i)], "message %d", i)
+		}
+		body, _, err := call(context.Background(), a, "b:1", "still served")
+		require.NoError(t, err)
+		require.NotNil(t, body)
+		closeAll(t, a, b)
+	})
+}
--- a/link/network_test.go
+++ b/link/network_test.go
@@ -47,17 +47,33 @@
 type pipe struct {
 	net.Conn
 	swallow *atomic.Bool
+	stalled atomic.Pointer[chan struct{}] // writes wait until it is closed
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newPipe(c net.Conn, swallow *atomic.Bool) *pipe {
+	return &pipe{Conn: c, swallow: swallow, closed: make(chan struct{})}
 }
 
 func (p *pipe) Write(b []byte) (int, error) {
+	if stall := p.stalled.Load(); stall != nil {
+		select {
+		case <-*stall:
+		case <-p.closed:
+			return 0, net.ErrClosed
+		}
+	}
 	if p.swallow.Load() {
 		return len(b), nil
 	}
 	return p.Conn.Write(b)
 }
 
-// Close of a swallowing connection is not noticed by the other end.
+// Close ends a stalled write, as closing a socket does. That of a swallowing
+// connection is not noticed by the other end.
 func (p *pipe) Close() error {
+	p.once.Do(func() { close(p.closed) })
 	if p.swallow.Load() {
 		return p.SetDeadline(time.Unix(1, 0))
 	}
@@ -81,7 +97,7 @@
 	}
 	a, b := net.Pipe()
 	swallow := new(atomic.Bool)
-	pa, pb := &pipe{a, swallow}, &pipe{b, swallow}
+	pa, pb := newPipe(a, swallow), newPipe(b, swallow)
 	n.mu.Lock()
 	n.pipes = append(n.pipes, pa)
 	n.mu.Unlock()
@@ -98,6 +114,18 @@
 	}
 }
 
+// stall makes what the dialling ends of all connections write wait until the
+// returned function is called. The other direction goes on.
+func (n *network) stall() (release func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	stall := make(chan struct{})
+	for _, p := range n.pipes {
+		p.stalled.Store(&stall)
+	}
+	return func() { close(stall) }
+}
+
 func (n *network) add(t *testing.T, address string, h Handler, change func(*Config)) *Links {
 	cfg := Defaults()
 	cfg.Hello = &wire.Hello{Instance: address, Incarnation: 1}
--- a/link/peer.go
+++ b/link/peer.go
@@ -186,6 +186,10 @@
 			s.use()
 			err = writeControl(s, batch)
 		}
+		var large *wire.FrameTooLargeError
+		if s != nil && err != nil && !errors.As(err, &large) {
+			s.retire() // calls on it go on, the next message takes a fresh dial
+		}
 		if err != nil {
 			p.links.count.controlDropped.Add(uint64(len(batch)))
 			continue
@@ -210,7 +214,7 @@
 	for i, m := range batch {
 		frames[i] = &wire.Frame{Kind: &wire.Frame_Control{Control: m}}
 	}
-	return writeFrames(s.control, frames)
+	return s.writeControl(frames...)
 }
 
 // unused marks the peer as gone when nothing refers to it any more.
--- a/link/session.go
+++ b/link/session.go
@@ -49,6 +49,9 @@
 	mux     *yamux.Session
 	control *yamux.Stream
 
+	controlMu   sync.Mutex // orders writes to the control stream
+	controlLost bool       // a write failed: see writeControl
+
 	openMu      sync.RWMutex // orders OpenStream before our End
 	retired     bool         // we have promised to open no more streams
 	retiring    atomic.Bool
@@ -148,12 +151,32 @@
 		s.openMu.Lock()
 		s.retired = true
 		s.openMu.Unlock()
-		if err := wire.Write(s.control, &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}}); err != nil {
+		err := s.writeControl(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})
+		if err != nil && !errors.Is(err, errControlLost) {
 			s.fail(err)
 		}
 	}()
 }
 
+// writeControl sends frames on the control stream. A write that fails may have
+// sent a part of a frame, and yamux may still send the rest later: its result
+// would be taken for that of the next write, which would return while its bytes
+// are still being read. So nothing is written after a failure; the session has
+// to be retired.
+func (s *session) writeControl(frames ...*wire.Frame) error {
+	s.controlMu.Lock()
+	defer s.controlMu.Unlock()
+	if s.controlLost {
+		return errControlLost
+	}
+	err := writeFrames(s.control, frames)
+	var large *wire.FrameTooLargeError
+	if err != nil && !errors.As(err, &large) {
+		s.controlLost = true
+	}
+	return err
+}
+
 // fail closes the session; its streams end with the cause.
 func (s *session) fail(cause error) {
 	if errors.Is(cause, io.EOF) {
@@ -183,6 +206,8 @@
 	errPeerClosed = errors.New("peer closed the session")
 	errRestarted  = errors.New("peer process was replaced")
 	errUnused     = errors.New("session was retired")
+
+	errControlLost = errors.New("an earlier write on the control stream failed")
 )
 
 // handshakeDial opens a session over a fresh connection to peer.
--- a/link/stream.go
+++ b/link/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -30,6 +31,7 @@
 	frames  chan *wire.Frame        // read ahead, on the server's side
 	readErr error                   // why frames was closed
 	once    sync.Once
+	broken  atomic.Bool // a write failed; see session.writeControl for why none may follow
 }
 
 // newOutgoing wraps a stream that this side has opened.
@@ -75,11 +77,15 @@
 	if err := st.ctx.Err(); err != nil {
 		return st.fault(err)
 	}
+	if st.broken.Load() {
+		return st.fault(ErrCut)
+	}
 	err := writeFrames(st.mux, frames)
 	var large *wire.FrameTooLargeError
 	if err == nil || errors.As(err, &large) {
 		return err
 	}
+	st.broken.Store(true)
 	return st.fault(err)
 }
 
