routing: the order of a split begins at a drawn place

Cause: each daemon began the smooth weighted order of a split at its largest part, and every configuration builds the order anew. With many daemons that see a few requests each, and changes that come quickly, the small parts got nothing.

Ruled out: carrying the state over from the table before (it would have to be matched by route and weights, and does nothing for daemons that start).

Test: TestASmallPartOfASplitGetsItsShareAcrossManyDaemonsAndChanges, 16 daemons, 20 changes, 5 requests each: a part of 0.1 got 0 before, within 0.02 of its share now. The order stays exact to within one request a part (TestSplitIsExactForFewRequests).

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 }
 
 func TestLongestPrefixOnWholeSegments(t *testing.T) {
-	table := NewTable(valid())
+	table := NewTable(valid(), seeded(1))
 	for path, want := range map[string]string{
 		"/x/1": "short", "/x/": "short", "/x/y/1": "long", "/x/y": "short", "/x/yy/1": "short",
 		"/x/y/../1": "long", "/x%2Fy/": "", "/xx/1": "", "/x": "", "": "", "/": "",
@@ -40,6 +41,27 @@
 	require.Equal(t, "short", m.Name)
 }
 
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// Pattern: a change of the configuration every few requests, on many daemons.
+func TestASmallPartOfASplitGetsItsShareAcrossManyDaemonsAndChanges(t *testing.T) {
+	const daemons, changes, requests = 16, 20, 5
+	c := valid()
+	c.Services = append(c.Services, Service{Name: "large"}, Service{Name: "small"})
+	c.Routes[0].Parts = []Part{{"large", 9}, {"small", 1}}
+	require.NoError(t, c.Prepare())
+	small, total := 0, daemons*changes*requests
+	for seed := range uint64(daemons * changes) {
+		m, _ := NewTable(c, seeded(seed)).Match("h.example", "/x/1")
+		for range requests {
+			if m.Service() == "small" {
+				small++
+			}
+		}
+	}
+	require.InDelta(t, 0.1, float64(small)/float64(total), 0.02)
+}
+
 func TestSplitIsExactForFewRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 5).Draw(t, "weights")
@@ -56,7 +78,7 @@
 		}
 		c.Routes[0].Parts = parts
 		require.NoError(t, c.Prepare())
-		m, _ := NewTable(c).Match("h.example", "/x/1")
+		m, _ := NewTable(c, seeded(rapid.Uint64().Draw(t, "seed"))).Match("h.example", "/x/1")
 		n := rapid.IntRange(1, 300).Draw(t, "requests")
 		got := map[string]int{}
 		for range n {
@@ -91,7 +113,7 @@
 }
 
 func TestKeysAreFoundByDigest(t *testing.T) {
-	table := NewTable(valid())
+	table := NewTable(valid(), seeded(1))
 	require.Equal(t, "o", table.Owner(DigestOf([]byte("k2"))).Name)
 	require.Nil(t, table.Owner(DigestOf([]byte("k3"))))
 	require.Nil(t, table.Service("c"))
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -31,8 +32,14 @@
 	credit []float64 // of each part, for the smooth weighted order
 }
 
-// NewTable indexes a checked configuration.
-func NewTable(c *Configuration) *Table {
+// splitPhases is the number of places, in requests, at which the order of a
+// split may begin: as many as a part of under half a percent needs to come up.
+const splitPhases = 256
+
+// NewTable indexes a checked configuration. rng draws where the order of each
+// split begins: daemons that all began with the largest part would keep the
+// small ones short after every change, as each sees only a few requests.
+func NewTable(c *Configuration, rng *rand.Rand) *Table {
 	t := &Table{
 		Configuration: c,
 		prefixes:      make(map[string]map[string]*target),
@@ -45,7 +52,13 @@
 		if t.prefixes[host] == nil {
 			t.prefixes[host] = make(map[string]*target)
 		}
-		t.prefixes[host][r.Prefix] = &target{route: r, credit: make([]float64, len(r.Parts))}
+		x := &target{route: r, credit: make([]float64, len(r.Parts))}
+		if len(r.Parts) > 1 {
+			for range rng.IntN(splitPhases) {
+				x.next()
+			}
+		}
+		t.prefixes[host][r.Prefix] = x
 	}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
@@ -87,14 +100,18 @@
 // Service returns the service of the next request on the route. Each part gets
 // its share in any run of requests, to within one request.
 func (m Match) Service() string {
-	parts := m.Parts
-	if len(parts) == 1 {
-		return parts[0].Service
+	if len(m.Parts) == 1 {
+		return m.Parts[0].Service
 	}
 	m.target.mu.Lock()
 	defer m.target.mu.Unlock()
+	return m.target.next()
+}
+
+// next takes one step in the smooth weighted order.
+func (x *target) next() string {
+	parts, credit := x.route.Parts, x.credit
 	total, best := 0.0, 0
-	credit := m.target.credit
 	for i := range parts {
 		credit[i] += parts[i].Weight
 		total += parts[i].Weight
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,10 +37,12 @@
 	sequence   uint64
 	ready      bool // as last logged
 	reachable  bool // the store answered last time
+
+	rng *rand.Rand
 }
 
 func newControl(d *Daemon) *control {
-	c := &control{d: d, mailbox: make(chan func(), mailboxSize), local: membership.NewLocal(d.set.Service), reachable: true}
+	c := &control{d: d, mailbox: make(chan func(), mailboxSize), local: membership.NewLocal(d.set.Service), reachable: true, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	c.incarnated = time.Now().UnixMilli()
 	// No row can be there when the whole deployment starts for the first time.
 	c.row = rowWriter{c: c, known: d.set.FirstStart}
@@ -186,7 +189,7 @@
 	c.d.log.Info("configuration in force", "generation", conf.Generation, "before", c.generation, "routes", len(conf.Routes), "organisations", len(conf.Organisations))
 	c.generation, c.document = conf.Generation, document
 	c.d.tokens.apply(conf.Organisations)
-	c.d.table.Store(routing.NewTable(conf))
+	c.d.table.Store(routing.NewTable(conf, c.rng))
 	return c.generation
 }
 
