backend: answers of other requests and unread bytes end their connection

Cause, found by reading: after two late answers the third one on a connection was delivered without a look at its id, so a caller could get the answer to another request. And an idle connection with unread bytes was used again: what lies there is read in place of the answer, and a request that may not be repeated is lost.

Ruled out: skipping without a bound (a backend server that keeps answering would hold the request to its deadline for nothing).

Tests, both failing before: TestAnswersOfOtherRequestsAreNeverDelivered, TestAConnectionWithUnreadBytesIsNotUsedAgain.

--- a/backend/client.go
+++ b/backend/client.go
@@ -189,7 +189,8 @@
 	}, nil
 }
 
-// reuse returns the idle connection used last that the peer has not closed.
+// reuse returns the idle connection used last that the peer has not closed. One
+// with unread bytes is closed: they belong to no request.
 func (c *Client) reuse() *clientConn {
 	for {
 		c.mu.Lock()
@@ -206,7 +207,7 @@
 			limit = min(limit, cc.keepFor)
 		}
 		fresh := time.Since(cc.since) < limit
-		if fresh && cc.br.Buffered() == 0 && Alive(cc.Conn) {
+		if fresh && cc.br.Buffered() == 0 && peek(cc.Conn) == connQuiet {
 			return cc
 		}
 		c.discard(cc)
@@ -235,24 +236,42 @@
 	c.open.Add(-1)
 }
 
-// Alive reports whether the peer of a TCP connection has neither closed nor
-// reset it. It looks at the socket without taking bytes from it. Other kinds
-// of connections count as alive.
-func Alive(conn net.Conn) bool {
+// Alive reports whether the peer of a connection has neither closed nor reset it.
+func Alive(conn net.Conn) bool { return peek(conn) != connEnded }
+
+// connState is the state of a connection, seen without taking bytes from it.
+type connState uint8
+
+const (
+	connQuiet  connState = iota // open, nothing to read
+	connUnread                  // bytes wait to be read
+	connEnded                   // closed or reset by the peer
+)
+
+// peek looks at the socket of a TCP connection. Other kinds of connections
+// count as quiet.
+func peek(conn net.Conn) connState {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return connQuiet
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return connEnded
 	}
-	alive := true
+	seen := connEnded
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		blocked := eris.Is(rerr, syscall.EAGAIN) || eris.Is(rerr, syscall.EINTR)
-		alive = n > 0 || blocked
+		switch {
+		case n > 0:
+			seen = connUnread
+		case eris.Is(rerr, syscall.EAGAIN) || eris.Is(rerr, syscall.EINTR):
+			seen = connQuiet
+		}
 	})
-	return err == nil && alive
+	if err != nil {
+		return connEnded
+	}
+	return seen
 }
--- a/backend/raw.go
+++ b/backend/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"strings"
@@ -50,6 +51,8 @@
 	keepAliveMargin = time.Second
 )
 
+var errOthersAnswers = errors.New("only answers of other requests came on the connection")
+
 // DoRaw sends a request and reads its whole response. The deadline of ctx
 // bounds the exchange. Errors are *request.Error: NotRun when the backend
 // server cannot have seen the request, Unknown otherwise.
@@ -134,9 +137,13 @@
 			fasthttp.ReleaseResponse(resp)
 			return nil, err
 		}
-		if call.Owns == nil || call.Owns(resp) || late == maxLate {
+		if call.Owns == nil || call.Owns(resp) {
 			return &RawAnswer{Response: resp, Body: body}, nil
 		}
+		if late == maxLate {
+			fasthttp.ReleaseResponse(resp)
+			return nil, errOthersAnswers
+		}
 	}
 }
 
--- a/backend/raw_test.go
+++ b/backend/raw_test.go
@@ -109,6 +109,48 @@
 	require.Equal(t, "two", got)
 }
 
+// Pattern: a backend server sends answers of earlier requests in a row.
+func TestAnswersOfOtherRequestsAreNeverDelivered(t *testing.T) {
+	c, _ := scripted(t, ok("a", "1")+ok("b", "2")+ok("c", "3")+ok("d", "4"))
+	_, err := do(t, c, rawCall("1", 3))
+	require.ErrorIs(t, err, errOthersAnswers)
+	require.Equal(t, request.Unknown, request.AsError(err).Outcome)
+	require.Empty(t, c.idle)
+}
+
+// Pattern: bytes come after a whole answer, while the connection is idle.
+func TestAConnectionWithUnreadBytesIsNotUsedAgain(t *testing.T) {
+	c, opened := scripted(t, ok("1", "one"), ok("2", "two"))
+	_, err := do(t, c, rawCall("1", 3))
+	require.NoError(t, err)
+	cc := c.idle[0]
+	extra, other := tcpPair(t)
+	_, err = other.Write([]byte("extra"))
+	require.NoError(t, err)
+	_, err = extra.Read(make([]byte, 1)) // the rest is there
+	require.NoError(t, err)
+	require.NoError(t, cc.Close())
+	cc.Conn = extra
+	require.Equal(t, connUnread, peek(extra))
+	got, err := do(t, c, rawCall("2", 3))
+	require.NoError(t, err)
+	require.Equal(t, "two", got)
+	require.Equal(t, 2, opened())
+}
+
+// tcpPair returns both ends of a connection on loopback.
+func tcpPair(t *testing.T) (a, b net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	a, err = net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	b, err = ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = a.Close(), b.Close() })
+	return a, b
+}
+
 func TestACutAnswerIsNotAnAnswer(t *testing.T) {
 	for name, script := range map[string]string{
 		"short body":    "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 10\r\n\r\nabc",
