sidecar: tests listen on ports that connections are not given

Cause: a test chose a free port by listening on port 0 and closing it; before the daemon listened on it, the system could give it to a connection. Seen once beside other load: "bind: address already in use" in TestACallerThatLeavesEndsTheWork.

Ruled out: a daemon of an earlier test that still runs (the port was new).

Ports now come from below the range for connections.

--- a/sidecar/deployment_test.go
+++ b/sidecar/deployment_test.go
@@ -8,8 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,14 +108,28 @@
 	return b
 }
 
+// Ports for listeners lie below those that the system gives to connections: a
+// connection could take one between its choice and its use.
+const (
+	firstPort = 20000
+	ports     = 12000
+	portsEach = 64 // for one process, so that those that run side by side do not meet
+)
+
+var portsTaken atomic.Int64
+
 // freeAddresses returns loopback addresses that nothing listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
+	for len(out) < n {
+		offset := int64(os.Getpid())*portsEach + portsTaken.Add(1)
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+offset%ports, 10))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // somebody else's
+		}
+		require.NoError(t, ln.Close())
+		out = append(out, address)
 	}
 	return out
 }
@@ -120,7 +137,7 @@
 // deploy starts daemons for the given services, one data centre for two daemons.
 func deploy(t *testing.T, backends ...endpoint.Config) *deployment {
 	d := &deployment{t: t, store: rowstore.New()}
-	d.store.Put("op", "", "config", document(1, routes()))
+	d.store.Put("op", "config", document(1, routes()))
 	for i, cfg := range backends {
 		d.add(i, cfg)
 	}
