platform: one client of the store, one stand-in, the published protocol

Cause: two clients of the platform stood side by side, platform/httpapi with a protocol of our own for the product's interface, and platform/host with the published one for the sidecar; and two stand-ins with two ways to keep rows.

Change: host.Store implements platform.Table and, by Objects, platform.Objects: rows-get, rows-tx, rows-feed, blob-put, blob-get, blob-drop. The stand-in standin/rowstore serves the same calls over platform/memory, for the daemon of the own interface, the operator's tool, try and the sidecar's tests alike. platform/httpapi goes, with its path for faults that nothing called.

The published feed may have dropped its history (410): HistoryGoneError, upon which the configuration and the rosters are read whole. A dial that fails is now known not to have been taken, for the sidecar too.

Ruled out: fasthttp for this client (a call does not end with its context).

The tests of httpapi were moved to platform/host with all their checks, but for the texts of errors of the protocol that has gone; what stands for them is TestWhatTheStoreDoesNotTakeIsCertainlyNotDone. New: TestAConflictNamesTheFirstConditionThatDoesNotHold, TestChangesOfAnyNumberAreReadInOrder, TestAReaderTakesEverythingWhenTheHistoryIsGone, TestRostersAreReadWholeWhenTheHistoryIsGone.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,20 +14,24 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
-	"wisteriafold/platform/httpapi"
 	"wisteriafold/platform/memory"
 	"wisteriafold/standin"
+	"wisteriafold/standin/rowstore"
 )
 
 func interrupted() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
+// headerTimeout bounds the time in which a client of the stand-in sends the head
+// of a request.
+const headerTimeout = 5 * time.Second
+
 func platformCommand() *cobra.Command {
 	var listen string
 	c := &cobra.Command{
 		Use:     "platform",
-		Short:   "Table service and object store in memory, over HTTP",
+		Short:   "Platform's store in memory: rows, feed and objects over HTTP",
 		Example: "  standin platform --listen 127.0.0.1:6000",
 		Args:    cobra.NoArgs,
 	}
@@ -36,14 +42,17 @@
 			return eris.Wrap(err, "--listen: free the address or name another")
 		}
 		store := memory.New()
-		srv := httpapi.NewServer(httpapi.NewHandler(store, store.Objects(), store))
+		srv := &http.Server{Handler: rowstore.NewHandler(store), ReadHeaderTimeout: headerTimeout}
 		ctx, stop := interrupted()
 		defer stop()
 		go func() {
 			<-ctx.Done()
-			_ = srv.Shutdown()
+			_ = srv.Close()
 		}()
-		return srv.Serve(ln)
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
 	}
 	return c
 }
--- a/cmd/wisteriafold/configuration.go
+++ b/cmd/wisteriafold/configuration.go
@@ -14,7 +14,7 @@
 	"wisteriafold/config"
 	"wisteriafold/instance"
 	"wisteriafold/platform"
-	"wisteriafold/platform/httpapi"
+	"wisteriafold/platform/host"
 )
 
 const (
@@ -29,7 +29,7 @@
 	c.Flags().StringVar(&s.address, "platform", "127.0.0.1:6000", "address of the platform's table service")
 }
 
-func (s *store) open() *httpapi.Client { return httpapi.NewClient(s.address, storeTimeout) }
+func (s *store) open() *host.Store { return host.NewStore(s.address, storeTimeout) }
 
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
--- a/cmd/wisteriafold/main_test.go
+++ b/cmd/wisteriafold/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -18,10 +19,10 @@
 	"wisteriafold/instance"
 	"wisteriafold/organisation"
 	"wisteriafold/platform"
-	"wisteriafold/platform/httpapi"
 	"wisteriafold/platform/memory"
 	"wisteriafold/request"
 	"wisteriafold/service"
+	"wisteriafold/standin/rowstore"
 )
 
 // configurationText is a valid configuration whose organisation has a rate of 20.
@@ -72,7 +73,9 @@
 func table(t *testing.T) (*memory.Store, string) {
 	t.Helper()
 	store := memory.New()
-	return store, serve(t, httpapi.NewServer(httpapi.NewHandler(store, store.Objects(), store)))
+	srv := httptest.NewServer(rowstore.NewHandler(store))
+	t.Cleanup(srv.Close)
+	return store, strings.TrimPrefix(srv.URL, "http://")
 }
 
 // operator starts an operator listener that answers with fixed pages.
--- a/cmd/wisteriafoldd/main.go
+++ b/cmd/wisteriafoldd/main.go
@@ -13,7 +13,6 @@
 
 	"wisteriafold/instance"
 	"wisteriafold/platform/host"
-	"wisteriafold/platform/httpapi"
 )
 
 // Exit codes.
@@ -61,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	store := httpapi.NewClient(set.Platform.Address, set.Platform.Timeout)
+	store := host.NewStore(set.Platform.Address, set.Platform.Timeout)
 	defer store.Close()
 	d, err := instance.New(set, instance.Options{Log: os.Stdout, Table: store, Objects: store.Objects()})
 	if err != nil {
--- a/config/reader.go
+++ b/config/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"wisteriafold/platform"
 )
@@ -30,6 +31,10 @@
 	cursor := since
 	for {
 		rows, newest, err := r.Table.Changes(ctx, Table, cursor, pageRows)
+		var gone *platform.HistoryGoneError
+		if errors.As(err, &gone) {
+			return r.full(ctx, since)
+		}
 		if err != nil {
 			return Update{}, err
 		}
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -168,6 +168,22 @@
 	}
 }
 
+// Pattern: the store drops its history while a relay is away.
+func TestAReaderTakesEverythingWhenTheHistoryIsGone(t *testing.T) {
+	store, r := memory.New(), rand.NewChaCha8([32]byte{9})
+	mustApply(t, store, marked(1), r)
+	since := mustRead(t, store).Snapshot.Version
+	mustApply(t, store, marked(2), r)
+	store.ForgetHistory(Table)
+	u, err := Reader{store}.Read(context.Background(), since)
+	require.NoError(t, err)
+	require.True(t, u.Full)
+	require.Equal(t, uint64(2), u.Head.Generation)
+	again, err := Reader{store}.Read(context.Background(), u.Version)
+	require.NoError(t, err)
+	require.False(t, again.Changed)
+}
+
 func TestPartitionHealsAndNothingGoesBack(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		f := newFleet(t, seed, 3, 12)
--- a/datacentre/store.go
+++ b/datacentre/store.go
@@ -67,19 +67,18 @@
 	since := res.Job.Since
 	for {
 		rows, newest, err := table.Changes(ctx, RosterTable, since, changesLimit)
+		var gone *platform.HistoryGoneError
+		if errors.As(err, &gone) {
+			return readAll(ctx, table, res)
+		}
 		if err != nil {
 			return err
 		}
-		for _, r := range rows {
-			since = r.Version
-			if r.Deleted {
-				continue
-			}
-			v := new(wire.RosterRow)
-			if err := proto.Unmarshal(r.Value, v); err != nil {
-				return eris.Wrapf(err, "row %s/%s is no roster: restore or delete it", RosterTable, r.Key)
-			}
-			res.Rows = append(res.Rows, StoredRoster{Value: v, RowVersion: r.Version})
+		if err := res.add(rows); err != nil {
+			return err
+		}
+		if len(rows) > 0 {
+			since = rows[len(rows)-1].Version
 		}
 		if len(rows) < changesLimit {
 			res.Newest = max(newest, since)
@@ -88,6 +87,41 @@
 	}
 }
 
+// readAll reads every roster: the changes since the last read are no longer kept.
+func readAll(ctx context.Context, table platform.Table, res *Result) error {
+	res.Rows, res.Newest = nil, res.Job.Since
+	for after := ""; ; {
+		rows, err := table.Scan(ctx, RosterTable, after, changesLimit)
+		if err != nil {
+			return err
+		}
+		if err := res.add(rows); err != nil {
+			return err
+		}
+		for _, r := range rows {
+			after, res.Newest = r.Key, max(res.Newest, r.Version)
+		}
+		if len(rows) < changesLimit {
+			return nil
+		}
+	}
+}
+
+// add decodes rows that exist.
+func (res *Result) add(rows []platform.Row) error {
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		v := new(wire.RosterRow)
+		if err := proto.Unmarshal(r.Value, v); err != nil {
+			return eris.Wrapf(err, "row %s/%s is no roster: restore or delete it", RosterTable, r.Key)
+		}
+		res.Rows = append(res.Rows, StoredRoster{Value: v, RowVersion: r.Version})
+	}
+	return nil
+}
+
 // change applies the job's change to its row, unless the row has it already.
 func change(ctx context.Context, table platform.Table, job *Job) error {
 	var err error
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -15,6 +15,10 @@
 const daemonTable = "daemons"
 
 const (
+	// maxDaemons bounds the rows that are read: four times the deployment that
+	// docs/CAPACITY.md is made for.
+	maxDaemons = 64 << 10
+
 	// rowRetry is the pause after a call that failed; it keeps the rows of
 	// daemons that start while the store is away within two seconds of its return.
 	rowRetry = 600 * time.Millisecond
@@ -133,7 +137,7 @@
 
 // read reads all rows. A row that cannot be read names no daemon.
 func (r *rowWriter) read(ctx context.Context, self string, res *rowResult) error {
-	rows, err := r.c.d.store.Rows(ctx, daemonTable)
+	rows, err := r.c.d.store.Scan(ctx, daemonTable, "", maxDaemons)
 	if err != nil {
 		return err
 	}
@@ -197,7 +201,7 @@
 }
 
 func (d *Daemon) deleteRow(ctx context.Context, e *membership.Entry) error {
-	rows, err := d.store.Rows(ctx, daemonTable)
+	rows, err := d.store.Scan(ctx, daemonTable, "", maxDaemons)
 	if err != nil {
 		return err
 	}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -79,9 +79,7 @@
 	// row, nothing and 0 while there is none.
 	Configuration(ctx context.Context) (document []byte, version uint64, err error)
 
-	// Rows returns the rows of one of the product's own tables.
-	Rows(ctx context.Context, table string) ([]platform.Row, error)
-
-	// Commit applies a transaction.
+	// Scan and Commit are those of platform.Table.
+	Scan(ctx context.Context, table, after string, limit int) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Tx) (uint64, error)
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -155,13 +155,13 @@
 func TestAWithdrawnKeyAndANewRouteAreInForceEverywhere(t *testing.T) {
 	d := deploy(t, archive(), ledger())
 	more := append(routes(), route{"new", "h.example", "/new/", "idempotent", 1000, 500, "ledger", 1, true})
-	d.store.Put("op", "", "config", document(2, more, tenant{Name: "o1", APIKeys: []string{"key-3"}}))
+	d.store.Put("op", "config", document(2, more, tenant{Name: "o1", APIKeys: []string{"key-3"}}))
 	for _, n := range d.nodes {
 		require.Eventually(t, func() bool { return n.send(t, "GET", "/new/1", "a", "").status == 200 }, 5*time.Second, 50*time.Millisecond)
 		require.Equal(t, 401, n.send(t, "GET", "/view/1", "b", "", "X-Credential", "key-1").status)
 		require.Equal(t, 200, n.send(t, "GET", "/view/1", "c", "", "X-Credential", "key-3").status)
 	}
-	d.store.Put("op", "", "config", []byte(`{"version":"r3","routes":[{"name":"x"`))
+	d.store.Put("op", "config", []byte(`{"version":"r3","routes":[{"name":"x"`))
 	time.Sleep(1500 * time.Millisecond)
 	require.Equal(t, 200, d.nodes[0].send(t, "GET", "/new/1", "d", "").status, "a broken document leaves the old one in force")
 }
@@ -246,7 +246,7 @@
 
 func TestARateIsRefusedWithATimeToComeBack(t *testing.T) {
 	d := deploy(t, archive(), archive())
-	d.store.Put("op", "", "config", document(2, routes(), tenant{Name: "o1", APIKeys: []string{"key-1"}, RatePerS: 5, Burst: 5}))
+	d.store.Put("op", "config", document(2, routes(), tenant{Name: "o1", APIKeys: []string{"key-1"}, RatePerS: 5, Burst: 5}))
 	require.Eventually(t, func() bool { return d.nodes[0].daemon.Generation() == 2 && d.nodes[1].daemon.Generation() == 2 }, 5*time.Second, 20*time.Millisecond)
 	time.Sleep(1200 * time.Millisecond) // the holder earns the burst
 	ok, refused := 0, 0
@@ -322,7 +322,7 @@
 		Incarnation: time.Now().Add(time.Hour).UnixMilli(), State: uint32(membership.Ready), Slots: 8,
 	})
 	require.NoError(t, err)
-	d.store.Put("daemons", "", n.set.Listen.Peers, ahead)
+	d.store.Put("daemons", n.set.Listen.Peers, ahead)
 	d.start(n)
 	d.awaitReady(n, 2)
 	require.True(t, n.backend.Drain())
--- a/sidecar/trace_test.go
+++ b/sidecar/trace_test.go
@@ -40,7 +40,7 @@
 
 func TestFromIDToCauseARateThatIsUsedUp(t *testing.T) {
 	d := deploy(t, archive(), archive())
-	d.store.Put("op", "", "config", document(2, routes(), tenant{Name: "o1", APIKeys: []string{"key-1"}, RatePerS: 1, Burst: 1}))
+	d.store.Put("op", "config", document(2, routes(), tenant{Name: "o1", APIKeys: []string{"key-1"}, RatePerS: 1, Burst: 1}))
 	require.Eventually(t, func() bool { return d.nodes[0].daemon.Generation() == 2 }, 5*time.Second, 20*time.Millisecond)
 	for i := 0; ; i++ {
 		id := fmt.Sprint("id", i)
--- /dev/null
+++ b/standin/rowstore/protocol.go
@@ -0,0 +1,260 @@
+package rowstore
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wisteriafold/platform"
+)
+
+const (
+	prefix   = "/wisteriafold/"
+	pageRows = 500     // rows in one answer at most
+	maxBody  = 8 << 20 // bytes of an object
+)
+
+// reserved are the tables that only the operator and the platform write.
+var reserved = map[string]bool{"op": true, "servers": true}
+
+type rowJSON struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type answer struct {
+	Rows    []rowJSON `json:"rows"`
+	HasMore bool      `json:"hasMore"`
+	Version uint64    `json:"ver"`
+	NowMs   int64     `json:"nowMs"`
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	f := h.faults
+	h.calls[r.URL.Path]++
+	h.mu.Unlock()
+	time.Sleep(f.Slow)
+	switch {
+	case f.Reset:
+		hangUp(w)
+		return
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+		return
+	}
+	call, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefix), "/")
+	var err error
+	switch r.Method + " " + call {
+	case "GET rows-get":
+		err = h.get(w, r)
+	case "GET rows-feed":
+		err = h.feed(w, r)
+	case "POST rows-tx":
+		err = h.commit(w, r)
+	case "PUT blob-put":
+		err = h.putObject(w, r, key)
+	case "GET blob-get":
+		err = h.getObject(w, r, key)
+	case "DELETE blob-drop":
+		err = h.rows.Objects().Delete(r.Context(), key)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+	if err != nil {
+		fail(w, err)
+	}
+}
+
+// badRequestError reports a request that no call takes.
+type badRequestError struct{ cause string }
+
+func (e *badRequestError) Error() string { return e.cause }
+
+// fail answers an error as the platform does: a lost answer with none at all.
+func fail(w http.ResponseWriter, err error) {
+	var lost *platform.AmbiguousError
+	var missing *platform.NotFoundError
+	var gone *platform.HistoryGoneError
+	var bad *badRequestError
+	switch {
+	case errors.As(err, &lost):
+		hangUp(w)
+	case errors.As(err, &missing):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.As(err, &gone):
+		w.WriteHeader(http.StatusGone)
+	case errors.As(err, &bad):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func reply(w http.ResponseWriter, status int, a answer) {
+	if a.Rows == nil {
+		a.Rows = []rowJSON{}
+	}
+	a.NowMs = time.Now().UnixMilli()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(a) // a client that left is not told
+}
+
+func (h *Handler) get(w http.ResponseWriter, r *http.Request) error {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit > pageRows {
+		limit = pageRows
+	}
+	if q.Get("part") != "" {
+		return &badRequestError{"the stand-in keeps rows of the empty part only"}
+	}
+	table, from, to := q.Get("table"), q.Get("from"), q.Get("to")
+	a := answer{Version: h.rows.Version()}
+	var rows []platform.Row
+	if from != "" { // Scan begins behind a key
+		if rows, err = h.rows.Get(r.Context(), table, from); err != nil {
+			return err
+		}
+	}
+	more, err := h.rows.Scan(r.Context(), table, from, limit+1)
+	if err != nil {
+		return err
+	}
+	for _, x := range append(rows, more...) {
+		if to != "" && x.Key >= to {
+			break
+		}
+		if len(a.Rows) == limit {
+			a.HasMore = true
+			break
+		}
+		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: x.Version})
+	}
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+// feed answers at once: the product asks without waiting.
+func (h *Handler) feed(w http.ResponseWriter, r *http.Request) error {
+	table := r.URL.Query().Get("table")
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		return &badRequestError{"after is not a version"}
+	}
+	a := answer{Version: h.rows.Version()} // before the rows: changes made meanwhile come again
+	rows, _, err := h.rows.Changes(r.Context(), table, after, maxRows)
+	if err != nil {
+		return err
+	}
+	for _, x := range rows {
+		if n := len(a.Rows); n >= pageRows && x.Version != a.Rows[n-1].Version {
+			a.Version = a.Rows[n-1].Version
+			break
+		}
+		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: x.Version, Deleted: x.Deleted})
+	}
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+func (h *Handler) commit(w http.ResponseWriter, r *http.Request) error {
+	var body struct {
+		Expected []rowJSON `json:"expectedRevision"`
+		Puts     []rowJSON `json:"puts"`
+		Remove   []rowJSON `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return &badRequestError{"body is not the JSON of this call: " + err.Error()}
+	}
+	var tx platform.Tx
+	for _, c := range body.Expected {
+		tx.Conditions = append(tx.Conditions, platform.Condition{Table: c.Table, Key: c.Key, Version: c.Version})
+	}
+	for _, p := range body.Puts {
+		tx.Writes = append(tx.Writes, platform.Write{Table: p.Table, Key: p.Key, Value: p.Value})
+	}
+	for _, p := range body.Remove {
+		tx.Writes = append(tx.Writes, platform.Write{Table: p.Table, Key: p.Key, Delete: true})
+	}
+	for _, x := range tx.Writes {
+		if reserved[x.Table] {
+			w.WriteHeader(http.StatusForbidden)
+			return nil
+		}
+	}
+	version, err := h.rows.Commit(r.Context(), tx)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return h.refuse(w, r, body.Expected)
+	}
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, answer{Version: version})
+	return nil
+}
+
+// refuse answers a transaction whose conditions do not hold with the rows as
+// they are.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, expected []rowJSON) error {
+	a := answer{Version: h.rows.Version()}
+	for _, c := range expected {
+		rows, err := h.rows.Get(r.Context(), c.Table, c.Key)
+		if err != nil {
+			return err
+		}
+		for _, x := range rows {
+			a.Rows = append(a.Rows, rowJSON{Table: c.Table, Key: x.Key, Value: x.Value, Version: x.Version})
+		}
+	}
+	reply(w, http.StatusPreconditionFailed, a)
+	return nil
+}
+
+func (h *Handler) putObject(w http.ResponseWriter, r *http.Request, key string) error {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil || len(b) > maxBody {
+		return &badRequestError{"the object is cut short or too large"}
+	}
+	if r.Header.Get("If-None-Match") == "*" {
+		_, err := h.rows.Objects().Get(r.Context(), key)
+		if err == nil {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return nil
+		}
+	}
+	return h.rows.Objects().Put(r.Context(), key, b)
+}
+
+func (h *Handler) getObject(w http.ResponseWriter, r *http.Request, key string) error {
+	b, err := h.rows.Objects().Get(r.Context(), key)
+	if err != nil {
+		return err
+	}
+	_, _ = w.Write(b) // a client that left is not told
+	return nil
+}
--- a/try/deployment.go
+++ b/try/deployment.go
@@ -6,19 +6,20 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"wisteriafold/config"
 	"wisteriafold/examples"
 	"wisteriafold/instance"
 	"wisteriafold/organisation"
-	"wisteriafold/platform/httpapi"
+	"wisteriafold/platform/host"
 	"wisteriafold/platform/memory"
 	"wisteriafold/standin"
+	"wisteriafold/standin/rowstore"
 )
 
 const (
@@ -32,8 +33,8 @@
 // deployment is everything that runs.
 type deployment struct {
 	store    *memory.Store
-	platform *fasthttp.Server
-	client   *httpapi.Client
+	platform *http.Server
+	client   *host.Store
 	conf     *config.Configuration
 	keys     map[string]string // organisation -> key made for this run
 	sites    []*site
@@ -95,9 +96,9 @@
 		return "", err
 	}
 	d.store = memory.New()
-	d.platform = httpapi.NewServer(httpapi.NewHandler(d.store, d.store.Objects(), d.store))
-	go func() { _ = d.platform.Serve(ln) }() // ends with Shutdown
-	d.client = httpapi.NewClient(ln.Addr().String(), platformWait)
+	d.platform = &http.Server{Handler: rowstore.NewHandler(d.store), ReadHeaderTimeout: platformWait}
+	go func() { _ = d.platform.Serve(ln) }() // ends with Close
+	d.client = host.NewStore(ln.Addr().String(), platformWait)
 	return ln.Addr().String(), nil
 }
 
@@ -200,7 +201,7 @@
 	}, d.ledger)
 	go func() { _ = b.Serve(ln) }() // ends with Close
 	set.Backend.Address = ln.Addr().String()
-	client := httpapi.NewClient(set.Platform.Address, set.Platform.Timeout)
+	client := host.NewStore(set.Platform.Address, set.Platform.Timeout)
 	daemon, err := instance.New(set, instance.Options{
 		Log:       log,
 		Table:     client,
@@ -256,7 +257,7 @@
 		_ = s.backend.Close()
 	}
 	d.client.Close()
-	_ = d.platform.Shutdown()
+	_ = d.platform.Close()
 	return errors.Join(faults...)
 }
 
