try: the verdict of a run does not depend on the load beside it

The callers are in the process of the daemons and send at a fixed rate, however few answers come: on a slow machine they pile up, and the control goroutines and the stand-in of the platform wait behind thousands of others.

The excess was the judge's: it stamped an admission when its hook ran, not with the instant for which the token was taken, so decisions that lay apart seemed to come at once. The hook now gets that instant, and the checker orders events by it; its windows are exact as before.

Change: at most 16 requests of a kind wait for an answer; more are not sent and are counted as held.

Tests: TestCallersDoNotPileUpOnADaemonThatDoesNotAnswer, TestExcessGoesByTheInstantOfTheDecision.

--- a/contract/limiter.go
+++ b/contract/limiter.go
@@ -91,6 +91,9 @@
 	return Verdict{RetryAfter: vw.retry}
 }
 
+// TakenAt returns the instant for which the tokens of v were taken.
+func (l *Limiter) TakenAt(v Verdict) time.Time { return l.epoch.Add(time.Duration(v.at)) }
+
 // GiveBack returns the tokens of a request that was certainly not run to the
 // loan that they came from, while that loan lasts. Some are lost then, so that
 // no window that begins between Take and GiveBack exceeds its bound.
--- a/instance/admit.go
+++ b/instance/admit.go
@@ -43,13 +43,14 @@
 		return nil, request.AsError(err)
 	}
 	if e.d.hooks.Admitted != nil {
-		e.d.hooks.Admitted(e.call.Organisation, e.d.now())
+		e.d.hooks.Admitted(e.call.Organisation, e.d.limiter.TakenAt(v))
 	}
 	return func() {
+		now := e.d.now()
 		if e.d.hooks.GivenBack != nil { // first: the token may be taken again at once
-			e.d.hooks.GivenBack(e.call.Organisation, e.d.now())
+			e.d.hooks.GivenBack(e.call.Organisation, now)
 		}
-		e.d.limiter.GiveBack(v)
+		e.d.limiter.GiveBackAt(now, v)
 	}, nil
 }
 
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -48,7 +48,8 @@
 	Listeners *Listeners
 }
 
-// Hooks lets invariant checkers see decisions at the moment they are taken.
+// Hooks lets invariant checkers see decisions. at is the instant that a decision
+// counts for; a busy process may call the hook later.
 type Hooks struct {
 	Admitted  func(organisation string, at time.Time) // a token was taken
 	GivenBack func(organisation string, at time.Time) // it was returned: the request was not run
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -20,6 +20,12 @@
 	latencyDigits = 3
 	callerConns   = 512
 	clientTimeout = 10 * time.Second
+
+	// callersWaiting bounds the requests of one kind that wait for an answer,
+	// several times what a run at full speed needs. Callers share their processor
+	// with the daemons in try and in tests: without a bound, thousands of them
+	// keep a slow machine from ever running the daemons' control goroutines.
+	callersWaiting = 16
 )
 
 // Kind is a kind of request that callers send.
@@ -39,10 +45,13 @@
 // Tally is what became of the requests of one kind.
 type Tally struct {
 	Sent, Completed, NotRun, Unknown, OverRate, Shed, Wrong int64
+
+	Held int64 // not sent, as too many were waiting
 }
 
 // Callers sends requests of several kinds to a set of entry addresses with
-// exponentially distributed gaps, open loop. It is safe for concurrent use.
+// exponentially distributed gaps, open loop up to a bound on those that wait for
+// an answer. It is safe for concurrent use.
 type Callers struct {
 	entries []string
 	client  *fasthttp.Client
@@ -80,6 +89,7 @@
 	rng := rand.New(rand.NewPCG(seed, seed))
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	waiting := make(chan struct{}, callersWaiting)
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(rng.ExpFloat64() / k.Rate * float64(time.Second)))
@@ -89,9 +99,16 @@
 		case <-time.After(time.Until(next)):
 		}
 		entry := c.entries[rng.IntN(len(c.entries))]
+		select {
+		case waiting <- struct{}{}:
+		default:
+			c.record(&k, func(t *Tally) { t.Held++ })
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			defer func() { <-waiting }()
 			c.request(ctx, &k, entry)
 		}()
 	}
--- a/standin/excess.go
+++ b/standin/excess.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,22 +11,25 @@
 )
 
 // Excess checks every admission of all daemons against the contracts: over any
-// window, no more than rate times window plus burst. It is safe for concurrent
-// use.
+// window, no more than rate times window plus burst. Events may be reported in
+// any order, as a busy process reports some of them late. It is safe for
+// concurrent use.
 type Excess struct {
 	mu      sync.Mutex
 	started time.Time
 	of      map[string]*usage
 }
 
-// usage is the state for one organisation. The admissions less rate times time,
-// minus the least value that this ever had, is the largest use of any window
-// that ends now.
+// usage is what is known of one organisation.
 type usage struct {
 	rate, burst float64
-	net         float64
-	least       float64
-	worst       float64
+	events      []event
+}
+
+// event is a token that was taken, or given back.
+type event struct {
+	at time.Duration // since the start
+	n  float64       // 1 or -1
 }
 
 // NewExcess returns a checker for the contracts of a configuration.
@@ -50,20 +55,32 @@
 	if t == nil {
 		return
 	}
-	now := at.Sub(e.started).Seconds() * t.rate
-	t.least = min(t.least, t.net-now)
-	t.net += n
-	t.worst = max(t.worst, t.net-now-t.least-t.burst)
+	t.events = append(t.events, event{at.Sub(e.started), n})
 }
 
 // Overshoot returns the most whole requests beyond a contract, over all
-// organisations.
+// organisations and windows so far.
 func (e *Excess) Overshoot() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	worst := 0.0
 	for _, t := range e.of {
-		worst = max(worst, t.worst)
+		worst = max(worst, t.worst())
 	}
 	return int(math.Floor(worst))
 }
+
+// worst returns the largest use of any window beyond the contract. The
+// admissions less rate times time, minus the least value that this ever had, is
+// the largest use of any window that ends at an event.
+func (t *usage) worst() float64 {
+	slices.SortStableFunc(t.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	var net, least, worst float64
+	for _, x := range t.events {
+		earned := x.at.Seconds() * t.rate
+		least = min(least, net-earned)
+		net += x.n
+		worst = max(worst, net-earned-least-t.burst)
+	}
+	return worst
+}
--- a/standin/excess_test.go
+++ b/standin/excess_test.go
@@ -39,3 +39,16 @@
 		}
 	}
 }
+
+// Pattern: a busy machine; decisions within the contract are reported late and
+// out of order.
+func TestExcessGoesByTheInstantOfTheDecision(t *testing.T) {
+	e := NewExcess(&config.Configuration{Organisations: []config.Organisation{{Name: "museum", Rate: 10, Burst: 1}}})
+	for i := range 50 {
+		late := 49 - i
+		e.Admitted("museum", e.started.Add(time.Duration(late)*100*time.Millisecond))
+	}
+	require.Zero(t, e.Overshoot())
+	e.Admitted("museum", e.started.Add(2*time.Second))
+	require.Equal(t, 1, e.Overshoot())
+}
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,6 +137,34 @@
 	require.Equal(t, 1, c.FalseNotRun(l, []string{"archive"}))
 }
 
+// Pattern: daemons that answer nothing for a while, in the process of the callers.
+func TestCallersDoNotPileUpOnADaemonThatDoesNotAnswer(t *testing.T) {
+	var waiting, most atomic.Int64
+	answer := make(chan struct{})
+	address := serve(t, func(*fasthttp.RequestCtx) {
+		now := waiting.Add(1)
+		for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+		}
+		<-answer
+		waiting.Add(-1)
+	})
+	c := NewCallers([]string{address})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Run(ctx, Kind{Name: "read", Method: "GET", Path: "/", Rate: 5000}, 1)
+	}()
+	require.Eventually(t, func() bool { return c.Tallies()["read"].Held > 100 }, patience, look)
+	require.LessOrEqual(t, most.Load(), int64(callersWaiting))
+	cancel()
+	close(answer)
+	<-done
+	tally := c.Tallies()["read"]
+	require.EqualValues(t, callersWaiting, tally.Sent)
+}
+
 func TestBackendShedsWhenItsSlotsAreFull(t *testing.T) {
 	b, ledger, address := startBackend(t, 0, "")
 	defer b.Close()
--- a/try/summary.go
+++ b/try/summary.go
@@ -101,10 +101,10 @@
 	}
 	slices.Sort(names)
 	var b strings.Builder
-	fmt.Fprintf(&b, "\n%-12s %9s %10s %9s %9s %9s\n", "KIND", "SENT", "COMPLETED", "OVER RATE", "SHED", "UNKNOWN")
+	fmt.Fprintf(&b, "\n%-12s %9s %10s %9s %9s %9s %9s\n", "KIND", "SENT", "COMPLETED", "OVER RATE", "SHED", "UNKNOWN", "HELD")
 	for _, name := range names {
 		t := s.Kinds[name]
-		fmt.Fprintf(&b, "%-12s %9d %10d %9d %9d %9d\n", name, t.Sent, t.Completed, t.OverRate, t.Shed, t.Unknown)
+		fmt.Fprintf(&b, "%-12s %9d %10d %9d %9d %9d %9d\n", name, t.Sent, t.Completed, t.OverRate, t.Shed, t.Unknown, t.Held)
 	}
 	fmt.Fprintf(&b, "\nlatency of completed requests: %.1f ms for half, %.1f ms for 99 in 100\n", s.LatencyP50, s.LatencyP99)
 	fmt.Fprintf(&b, "refused within rate: %d; contract overshoot: %d; second runs: %d; wrong answers: %d\n", s.WithinRate, s.Overshoot, s.SecondRuns, s.WrongAnswers)
