sidecar: a call between daemons carries its id once and usual names as codes

Change: the id travels in the head of the call only, the tree is derived from it, and a field of usual name has a code of one byte. The address of the gate, which nobody read, is left out.

--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -89,7 +89,7 @@
 	id := string(h.Peek(d.names.Attempt))
 	e.call = &request.Call{
 		ID:         id,
-		Tree:       request.Tree(xxhash.Sum64String(id)),
+		Tree:       treeOf(id),
 		Route:      e.match.Name,
 		Importance: importanceOf(e.match.Rank),
 		Idempotent: e.match.Idempotent,
@@ -116,6 +116,9 @@
 	return e.takeToken()
 }
 
+// treeOf returns the tree of a request, which all daemons derive from its id.
+func treeOf(id string) request.Tree { return request.Tree(xxhash.Sum64String(id)) }
+
 // importanceOf maps a rank, 0 the most important, to a class.
 func importanceOf(rank int) request.Importance {
 	return request.Critical - request.Importance(min(max(rank, 0), int(request.Critical)))
@@ -279,7 +282,6 @@
 		observe:     e.observe,
 		head: &wire.CallHead{
 			RequestId:     e.call.ID,
-			Tree:          uint64(e.call.Tree),
 			Organisation:  e.call.Organisation,
 			KeyId:         []byte(e.call.KeyID),
 			Route:         e.call.Route,
@@ -294,7 +296,7 @@
 			Headers:       d.requestFields(h),
 		},
 	}
-	out.head.Headers = append(out.head.Headers, &wire.Header{Name: fasthttp.HeaderHost, Value: string(h.Host())})
+	out.head.Headers = append(out.head.Headers, &wire.Header{Name: d.names.pack([]byte(fasthttp.HeaderHost)), Value: string(h.Host())})
 	ans, err := d.forward(ctx, out)
 	if ans != nil {
 		e.answer(ans)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -177,7 +177,6 @@
 
 // attempt makes one attempt at one endpoint and records what it showed.
 func (d *Daemon) attempt(ctx context.Context, eps *endpoints, out *outgoing, ep service.Endpoint) (*wire.AnswerHead, *request.Error) {
-	out.head.Endpoint = ep.Peer
 	out.head.RemainingUs = out.call.Deadline.Sub(d.now()).Microseconds()
 	eps.picker.Begin(ep.Peer)
 	started := d.now()
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -217,7 +217,7 @@
 	return &wire.AnswerHead{
 		Outcome:   wire.Outcome_OUTCOME_ANSWERED,
 		Status:    uint32(status),
-		Headers:   responseFields(&r.Header),
+		Headers:   d.responseFields(&r.Header),
 		Body:      a.Body,
 		BodyBytes: int64(len(a.Body)),
 	}, backend.Result{Failed: status >= fasthttp.StatusInternalServerError}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -124,7 +124,7 @@
 	left := time.Duration(h.RemainingUs) * time.Microsecond
 	return &request.Call{
 		ID:           h.RequestId,
-		Tree:         request.Tree(h.Tree),
+		Tree:         treeOf(h.RequestId),
 		Organisation: h.Organisation,
 		KeyID:        string(h.KeyId),
 		Route:        h.Route,
--- a/sidecar/respond.go
+++ b/sidecar/respond.go
@@ -23,8 +23,9 @@
 	resp := &e.http.Response
 	resp.SetStatusCode(int(h.Status))
 	for _, f := range h.Headers {
-		resp.Header.Add(f.Name, f.Value)
+		resp.Header.Add(e.d.names.unpack(f.Name), f.Value)
 	}
+	resp.Header.Set(e.d.names.Attempt, e.call.ID)
 	resp.SetBodyRaw(h.Body)
 	e.finish("answered", "", int(h.Status))
 }
