sidecar: nothing is earned, and nobody is ready, before all daemons are known

The rows of all daemons were there to be read, but were taken in only after the daemon's own row was written, and 97 writes take the store a while.

Ruled out: fetched tokens that live too long (they are taken out where they are given); holders that keep tokens over a restart (accounts start empty).

Change: rows are taken in as soon as they are read. Until then, or for 3 s while the store cannot be read, a daemon earns no tokens and is not ready.

--- a/quota/account.go
+++ b/quota/account.go
@@ -56,6 +56,9 @@
 // Unlimited reports whether the organisation has no limit.
 func (a *Account) Unlimited() bool { return a.terms.Rate <= 0 }
 
+// Share returns the part of the rate that is earned here.
+func (a *Account) Share() float64 { return a.share }
+
 func (a *Account) rate() float64 { return a.terms.Rate * a.share }
 func (a *Account) cap() float64  { return a.terms.Burst * a.share }
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -36,6 +36,7 @@
 	incarnated int64 // incarnation of this daemon
 	sequence   uint64
 	ready      bool // as last logged
+	whole      bool // the directory was whole when traffic was last told of it
 	reachable  bool // the store answered last time
 
 	rng *rand.Rand
@@ -103,6 +104,9 @@
 	c.fleet.Tick(now)
 	c.probe()
 	c.d.gate.Tick()
+	if !c.whole && c.d.directoryWhole() {
+		c.Changed()
+	}
 	c.publish()
 }
 
@@ -207,7 +211,8 @@
 func (c *control) Changed() {
 	members := c.fleet.Directory().Members()
 	c.d.members.Store(&members)
-	c.d.tokens.setMembers(c.d.self(), members)
+	c.whole = c.d.directoryWhole()
+	c.d.tokens.setMembers(c.d.self(), members, c.whole)
 	c.d.services.Range(func(k, v any) bool {
 		v.(*endpoints).picker.SetEndpoints(c.d.endpointEntries(k.(string)))
 		return true
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -42,10 +42,20 @@
 	}
 }
 
-// isReady reports whether this daemon can route requests: it has a configuration
-// and knows other daemons, or knows that there are none.
+// directoryWait is the time after which what other daemons have told counts as
+// the whole directory while the store cannot be read: three comparisons of
+// directories.
+const directoryWait = 3 * time.Second
+
+// isReady reports whether this daemon can route requests.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.table.Load() != nil && (d.rowsRead.Load() || len(*d.members.Load()) > 1)
+	return !d.stopping.Load() && d.table.Load() != nil && d.directoryWhole()
+}
+
+// directoryWhole reports whether all daemons are known, as far as they can be.
+// Until then the few that are known look like all there are.
+func (d *Daemon) directoryWhole() bool {
+	return d.rowsRead.Load() || len(*d.members.Load()) > 1 && d.now().Sub(d.epoch) >= directoryWait
 }
 
 // probe asks the backend server for its id while nothing has been heard from
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -104,6 +104,8 @@
 			return res
 		}
 		res.known = true
+		entries := res.entries
+		r.c.post(func() { r.heard(e.Peer, entries) })
 	}
 	for _, x := range res.entries {
 		if x.Peer == e.Peer && x.Incarnation > e.Incarnation {
@@ -168,11 +170,6 @@
 	if res.err != nil {
 		r.next = sinceBoot() + rowRetry
 	}
-	for _, e := range res.entries {
-		if e.Peer == wrote.Peer {
-			r.c.local.Remember(e)
-		}
-	}
 	if res.err == nil && !res.overtaken {
 		r.written = wrote
 		if r.wanted == wrote {
@@ -181,13 +178,27 @@
 	}
 	wasLoaded := r.loaded
 	r.loaded = res.loaded
-	r.c.d.rowsRead.Store(r.loaded)
-	r.c.fleet.Merge(res.entries)
+	if r.loaded {
+		r.heard(wrote.Peer, res.entries)
+	}
 	if r.loaded && !wasLoaded {
 		r.c.announce()
 	}
 }
 
+// heard takes in the rows of all daemons. They are not kept back until the own
+// row is written: when all daemons start at once, the store takes a while for
+// their writes.
+func (r *rowWriter) heard(self string, entries []*membership.Entry) {
+	for _, e := range entries {
+		if e.Peer == self {
+			r.c.local.Remember(e)
+		}
+	}
+	r.c.d.rowsRead.Store(true)
+	r.c.fleet.Merge(entries)
+}
+
 // Remove implements fleet.Outside: it deletes the row of a daemon that is gone,
 // unless another process has written it since.
 func (c *control) Remove(e *membership.Entry) {
--- a/sidecar/tokens.go
+++ b/sidecar/tokens.go
@@ -30,6 +30,7 @@
 	mu            sync.Mutex
 	self          quota.Member
 	members       []quota.Member
+	whole         bool // members are all daemons
 	organisations []routing.Organisation
 	accounts      map[string]*tokenAccount
 }
@@ -48,10 +49,13 @@
 	return &tokens{send: send, accounts: make(map[string]*tokenAccount)}
 }
 
-// setMembers changes the daemons that share the rates.
-func (t *tokens) setMembers(self *membership.Entry, members []*membership.Entry) {
+// setMembers changes the daemons that share the rates. While they are not known
+// to be all, this daemon earns nothing: when all daemons start at once, each
+// would take a large part of every rate for itself.
+func (t *tokens) setMembers(self *membership.Entry, members []*membership.Entry, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.whole = whole
 	t.self = quota.Member{Peer: self.Peer, DataCentre: self.DataCentre}
 	t.members = t.members[:0]
 	for _, e := range members {
@@ -84,6 +88,7 @@
 		holders := quota.Holders(o.Name, o.Burst, t.members)
 		for _, h := range holders {
 			switch {
+			case h.Peer == t.self.Peer && !t.whole:
 			case h.Peer == t.self.Peer:
 				share = 1 / float64(len(holders))
 			case h.DataCentre == t.self.DataCentre:
