sidecar: callers that do not leave a stopping daemon are refused in time

Cause: the platform does not take a daemon out while fewer than half of its data centre's are ready. Its callers stay, so a daemon that got SIGTERM is never quiet; it took requests until it ended, 5.6 s later, and cut those in progress. Daemons that start while the store is away were not ready for 3 s since, which makes such moments more frequent.

Ruled out: a request that lasts longer than the grace time (those that were cut had been sent 4.4 and 5.2 s after SIGTERM).

Change: 2.5 s after SIGTERM callers are refused, truly not run, and told to come back in a second; calls below requests that run go on. The wait for a whole directory without the store is 1.5 s in place of 3 s.

Test: TestAStoppingDaemonThatCallersDoNotLeaveCutsNothing, fails before.

--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -106,6 +106,11 @@
 		e.call.Importance = max(e.call.Importance, e.above.importance)
 	}
 	e.call.WorkSpent = e.call.Organisation == "" && e.table.Authenticates
+	if e.above == nil && !e.call.WorkSpent && d.hasLeft(e.began) {
+		err := request.Refuse(request.ReasonShutdown, "this daemon is stopping, send it again when it is back")
+		err.RetryAfter = stopRetryAfter
+		return err
+	}
 	e.learned = d.routeOf(e.match.Name)
 	e.call.AnswerBytes = e.learned.answerBytes.Load()
 	if !e.call.WorkSpent && !e.learned.Admit(e.began, e.call, 1) {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -100,7 +100,8 @@
 	inFlight  atomic.Int64 // requests in progress
 	held      atomic.Int64 // bytes of request bodies
 	stopping  atomic.Bool
-	rowsRead  atomic.Bool // the rows of all daemons have been read
+	leaveAt   atomic.Int64 // callers are refused from then on, Unix ns; 0 while not stopping
+	rowsRead  atomic.Bool  // the rows of all daemons have been read
 	listeners []net.Listener
 	servers   []*fasthttp.Server
 
--- a/sidecar/deployment_test.go
+++ b/sidecar/deployment_test.go
@@ -231,18 +231,29 @@
 // raw sends bytes and returns the first answer's status, 0 when the connection
 // was closed without one.
 func (n *node) raw(t *testing.T, text string) int {
-	conn, err := net.Dial("tcp", n.set.Listen.Callers)
+	status, err := n.exchange(text)
 	require.NoError(t, err)
+	return status
+}
+
+// exchange sends text on a connection of its own. The status is 0 when there is
+// no answer; the error tells that text could not be sent.
+func (n *node) exchange(text string) (status int, err error) {
+	conn, err := net.Dial("tcp", n.set.Listen.Callers)
+	if err != nil {
+		return 0, err
+	}
 	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, text)
-	require.NoError(t, err)
+	if _, err = io.WriteString(conn, text); err != nil {
+		return 0, err
+	}
 	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, nil
 }
 
 // metricsText returns the metrics of a daemon.
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -43,9 +43,9 @@
 }
 
 // directoryWait is the time after which what other daemons have told counts as
-// the whole directory while the store cannot be read: three comparisons of
-// directories.
-const directoryWait = 3 * time.Second
+// the whole directory while the store cannot be read: an announcement, and a
+// comparison of directories with a daemon that has compared its own.
+const directoryWait = 1500 * time.Millisecond
 
 // isReady reports whether this daemon can route requests.
 func (d *Daemon) isReady() bool {
--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -23,14 +23,20 @@
 	closeWait = 150 * time.Millisecond
 
 	idlePoll = 20 * time.Millisecond
+
+	// stopRetryAfter is what callers are told after leaveAfter: a daemon that
+	// stops for a restart is back about then.
+	stopRetryAfter = time.Second
 )
 
 // Shutdown stops the daemon without cutting a request: it is not ready at once,
-// tells the other daemons, serves what still comes and ends when nothing is in
-// progress, or shortly before the process would be killed.
+// tells the other daemons, serves what still comes until callers should have
+// left, and ends when nothing is in progress, or shortly before the process would
+// be killed.
 func (d *Daemon) Shutdown() {
 	began := d.now()
 	d.stopping.Store(true)
+	d.leaveAt.Store(began.Add(leaveAfter).UnixNano())
 	d.log.Info("stop", "in_flight", d.inFlight.Load(), "grace_ms", d.set.ShutdownGrace.Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.ShutdownGrace-graceMargin)
 	defer cancel()
@@ -40,6 +46,14 @@
 	d.Close()
 }
 
+// hasLeft reports whether the callers of this daemon should be elsewhere. What
+// they send all the same could not be finished: the platform does not take a
+// daemon out while most of its data centre's are.
+func (d *Daemon) hasLeft(now time.Time) bool {
+	at := d.leaveAt.Load()
+	return at != 0 && now.UnixNano() >= at
+}
+
 // awaitQuiet returns when no request has been in progress for a moment.
 func (d *Daemon) awaitQuiet(ctx context.Context, began time.Time) {
 	quiet := d.now()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,6 +245,56 @@
 	require.Zero(t, status(n.set.Listen.Readiness, "/wisteriafold/ready"))
 }
 
+// Pattern: callers go on sending to a daemon that is stopping, because too few
+// others of its data centre are ready for the platform to take it out.
+func TestAStoppingDaemonThatCallersDoNotLeaveCutsNothing(t *testing.T) {
+	cfg := archive()
+	cfg.Work = 200 * time.Millisecond
+	d := deploy(t, cfg, archive())
+	n := d.nodes[0]
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	got := map[int]int{}
+	ended := make(chan struct{})
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-ended:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				s, err := n.exchange(fmt.Sprintf("POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: s%d-%d\r\nX-Credential: key-1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb", i, k))
+				if err != nil {
+					return // the daemon has gone
+				}
+				mu.Lock()
+				got[s]++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	n.stopped = true
+	n.daemon.Shutdown()
+	close(ended)
+	wg.Wait()
+	require.Positive(t, got[200])
+	require.Positive(t, got[503], "those that came too late")
+	delete(got, 200)
+	delete(got, 503)
+	delete(got, 0) // the daemon went while the connection was opened
+	require.Empty(t, got)
+	for _, l := range n.logs.lines(t) {
+		require.NotEqual(t, "cancelled", l["reason"])
+		if l["msg"] == "stopped" {
+			require.Zero(t, l["cut"])
+		}
+	}
+}
+
 func TestARateIsRefusedWithATimeToComeBack(t *testing.T) {
 	d := deploy(t, archive(), archive())
 	d.store.Put("op", "config", document(2, routes(), tenant{Name: "o1", APIKeys: []string{"key-1"}, RatePerS: 5, Burst: 5}))
