quota: tokens that their holder has earned again end, wherever they are

Change: only holders grant. Tokens are good for 0.3 s from the question, whose time travels with request and grant; a request's token may be given back until then. Unused ones go back at 0.14 s, by the control tick. What a daemon may no longer hold after a change of members goes to one that earns more.

New tests: unused tokens, late ones, a part that shrinks, answers to an earlier question.

--- a/quota/doc.go
+++ b/quota/doc.go
@@ -10,6 +10,11 @@
 // never exceeds rate and burst, whatever is cut, paused or killed. A daemon that
 // starts has an empty account.
 //
+// A holder earns again what it gave away, so tokens that were fetched are good for
+// a moment only, counted from the question; later they end, wherever they are. In
+// any window the fleet admits at most rate * window + burst + rate * that moment,
+// and the parts of a token that are on their way back.
+//
 // The holders follow from the entries in the directory, those of dead daemons
 // included: a daemon that others cannot reach may still be admitting requests.
 // While two views of the directory differ, two daemons may earn the same part;
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,8 +54,21 @@
 	return worst
 }
 
-// Pattern: one organisation far above its rate at all daemons, messages lost,
-// daemons restarted at any moment.
+// grant is an answer to a daemon that asked for tokens.
+type grant struct {
+	to         *Account
+	asked, due time.Duration
+	amount     float64
+}
+
+// admission is a request that has a token.
+type admission struct {
+	by       *Account
+	at, till time.Duration
+}
+
+// Pattern: one organisation far above its rate at all daemons, messages lost and
+// late, daemons restarted and requests refused at any moment.
 func TestNoWindowExceedsRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.IntRange(1, 20).Draw(t, "daemons"), Terms{
@@ -64,8 +78,22 @@
 		rng := rand.New(rand.NewPCG(7, rapid.Uint64().Draw(t, "seed")))
 		loss := rapid.Float64Range(0, 0.5).Draw(t, "loss")
 		now := time.Duration(0)
+		var grants []grant     // on their way
+		var queued []admission // took a token and have not run
+		send := func(to *Account, amount float64) {
+			if rng.Float64() >= loss {
+				late := time.Duration(rng.ExpFloat64() * float64(stockFor) / 2)
+				grants = append(grants, grant{to, now, now + late, amount})
+			}
+		}
 		for range 400 {
 			now += time.Duration(rng.IntN(40)) * time.Millisecond
+			grants = slices.DeleteFunc(grants, func(g grant) bool {
+				if g.due <= now {
+					g.to.Receive(now, g.asked, g.amount)
+				}
+				return g.due <= now
+			})
 			a, b := w.accounts[rng.IntN(len(w.accounts))], w.accounts[rng.IntN(len(w.accounts))]
 			switch rng.IntN(20) {
 			case 0: // a daemon starts again: its tokens are gone
@@ -73,24 +101,34 @@
 				*a = *NewAccount(now)
 				a.Set(now, w.terms, share)
 			case 1, 2, 3, 4:
-				n := b.Grant(now, a.Short(now, 1))
-				if rng.Float64() >= loss && a != b {
-					a.Receive(now, n)
-				}
+				send(a, b.Grant(now, a.Short(now, 1)))
 			case 5, 6:
-				n := b.GrantPart(now, a.Short(now, 1))
-				if rng.Float64() >= loss && a != b {
-					a.Receive(now, n)
-				}
+				send(a, b.GrantPart(now, a.Short(now, 1)))
 			case 7:
-				b.Receive(now, a.Rest(now, true))
+				b.Return(now, a.Rest(now))
+			case 8:
+				b.Return(now, a.Idle(now))
 			default:
-				if a.Take(now, true) {
-					w.admitted = append(w.admitted, now)
+				if till, ok := a.Take(now, true); ok {
+					queued = append(queued, admission{a, now, till})
+				}
+			}
+			if n := len(queued); n > 0 && rng.IntN(4) == 0 { // one has waited, and is refused or runs
+				i := rng.IntN(n)
+				q := queued[i]
+				queued = slices.Delete(queued, i, i+1)
+				if rng.IntN(2) == 0 {
+					q.by.GiveBack(now, q.till)
+				} else {
+					w.admitted = append(w.admitted, q.at)
 				}
 			}
 		}
-		require.LessOrEqual(t, w.overshoot(), stockFor*w.terms.Rate+1e-6)
+		for _, q := range queued {
+			w.admitted = append(w.admitted, q.at)
+		}
+		slices.Sort(w.admitted)
+		require.LessOrEqual(t, w.overshoot(), stockFor.Seconds()*w.terms.Rate+1e-6)
 	})
 }
 
@@ -105,14 +143,14 @@
 	}
 	first := holders[w.turn%len(holders)]
 	w.turn++
-	a.Receive(now, first.Grant(now, a.Short(now, 1)))
+	a.Receive(now, now, first.Grant(now, a.Short(now, 1)))
 	for _, h := range holders {
-		a.Receive(now, h.GrantPart(now, a.Short(now, 1)))
+		a.Receive(now, now, h.GrantPart(now, a.Short(now, 1)))
 	}
-	if a.Take(now, false) {
+	if _, ok := a.Take(now, false); ok {
 		return true
 	}
-	first.Receive(now, a.Rest(now, true))
+	first.Return(now, a.Rest(now))
 	return false
 }
 
@@ -129,19 +167,19 @@
 		now += time.Duration(rng.ExpFloat64() * float64(250*time.Millisecond)) // 4 a second
 		a := w.accounts[rng.IntN(16)]
 		asked++
-		ok := a.Take(now, true)
+		_, ok := a.Take(now, true)
 		ok = ok || w.fetch(now, a)
 		if ok {
 			w.admitted = append(w.admitted, now)
 		} else {
 			refused++
 		}
-		if !whole.Take(now, true) {
+		if _, ok := whole.Take(now, true); !ok {
 			wrongly--
 		}
 	}
 	wrongly += refused
-	require.LessOrEqual(t, w.overshoot(), stockFor*w.terms.Rate+1e-6)
+	require.LessOrEqual(t, w.overshoot(), stockFor.Seconds()*w.terms.Rate+1e-6)
 	require.LessOrEqual(t, float64(wrongly)/float64(asked), 0.001, "refused %d of %d, %d within the rate", refused, asked, wrongly)
 }
 
@@ -172,19 +210,74 @@
 	a.Set(0, Terms{Rate: 100, Burst: 100}, 1)
 	a.Set(2*time.Second, Terms{Rate: 2, Burst: 3}, 1)
 	got := 0
-	for a.Take(2*time.Second, true) {
+	till, ok := a.Take(2*time.Second, true)
+	for ok {
 		got++
+		_, ok = a.Take(2*time.Second, true)
 	}
 	require.Equal(t, 3, got)
 	require.Positive(t, a.NextIn())
-	a.GiveBack(2 * time.Second)
-	require.True(t, a.Take(2*time.Second, false))
+	a.GiveBack(2*time.Second, till)
+	_, ok = a.Take(2*time.Second, false)
+	require.True(t, ok)
+}
+
+// Pattern: a daemon joins, so that another one earns less than before.
+func TestWhatADaemonMayNoLongerHoldIsHandedOn(t *testing.T) {
+	terms := Terms{Rate: 10, Burst: 48}
+	before, joined := NewAccount(0), NewAccount(0)
+	before.Set(0, terms, 1)
+	joined.Set(0, terms, 0)
+	const now = 10 * time.Second
+	joined.Set(now, terms, 0.5)
+	joined.Return(now, before.Set(now, terms, 0.5))
+	require.Equal(t, 24, before.Whole())
+	require.Equal(t, 24, joined.Whole(), "the burst is whole and at two daemons")
+	joined.Return(now, before.Set(now, terms, 0))
+	require.Equal(t, 24, joined.Whole())
+	require.Zero(t, before.Whole())
+}
+
+// Pattern: an organisation's requests stop at a daemon that has fetched tokens.
+func TestUnusedTokensGoBackWhileTheyAreGood(t *testing.T) {
+	terms := Terms{Rate: 1, Burst: 10}
+	holder, other := NewAccount(0), NewAccount(0)
+	holder.Set(0, terms, 1)
+	other.Set(0, terms, 0)
+	now := 10 * time.Second
+	other.Receive(now, now, holder.Grant(now, 4))
+	require.Zero(t, other.Idle(now))
+	now += stockFor - returnBefore
+	holder.Return(now, other.Idle(now))
+	require.Equal(t, 10, holder.Whole())
+	require.Zero(t, other.Whole())
+}
+
+// Pattern: an answer comes after its daemon was suspended, and a request is
+// refused after it waited long.
+func TestTokensThatWereEarnedAgainEnd(t *testing.T) {
+	terms := Terms{Rate: 10, Burst: 10}
+	for _, share := range []float64{0, 1} {
+		a := NewAccount(0)
+		a.Set(0, terms, share)
+		a.Receive(0, 0, 2)
+		till, ok := a.Take(0, true)
+		require.True(t, ok)
+		a.Take(0, true)
+		a.Receive(stockFor+1, 0, 2)
+		a.GiveBack(stockFor+1, till)
+		require.Less(t, a.Whole(), 4, "only what was earned since")
+		if share == 0 {
+			require.Zero(t, a.Whole())
+		}
+	}
 }
 
 func TestNoLimit(t *testing.T) {
 	a := NewAccount(0)
 	for range 1000 {
-		require.True(t, a.Take(0, true))
+		_, ok := a.Take(0, true)
+		require.True(t, ok)
 	}
 	require.Zero(t, a.Short(0, 1))
 	require.Zero(t, a.Grant(0, 5))
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -43,7 +43,7 @@
 	match   routing.Match
 	call    *request.Call
 	body    []byte
-	token   bool
+	token   token
 	held    int64 // bytes of the body that count towards heldBodies until the request ends
 	learned *routeState
 	above   *run // the running request that made this call, nil when not known
@@ -184,13 +184,13 @@
 	if e.call.Organisation == "" {
 		return nil
 	}
-	ok, after := e.d.tokens.take(e.http, e.call.Organisation)
-	if !ok {
+	var after time.Duration
+	e.token, after = e.d.tokens.take(e.http, e.call.Organisation)
+	if !e.token.taken {
 		err := request.Refuse(request.ReasonRate, "the organisation's rate is used up, send less or raise it")
 		err.RetryAfter = after
 		return err
 	}
-	e.token = true
 	return nil
 }
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -104,6 +104,7 @@
 	c.fleet.Tick(now)
 	c.probe()
 	c.d.gate.Tick()
+	c.d.tokens.tick()
 	if !c.whole && c.d.directoryWhole() {
 		c.Changed()
 	}
--- a/sidecar/respond.go
+++ b/sidecar/respond.go
@@ -67,8 +67,8 @@
 
 // refuse answers a request that has certainly not run.
 func (e *entry) refuse(err *request.Error) {
-	if e.token {
-		e.d.tokens.giveBack(e.call.Organisation)
+	if e.token.taken {
+		e.d.tokens.giveBack(e.call.Organisation, e.token)
 	}
 	e.respond(statusOf(err.Reason), err)
 }
--- a/sidecar/tokens.go
+++ b/sidecar/tokens.go
@@ -25,7 +25,8 @@
 // tokens holds the accounts of all organisations at this daemon. It is safe
 // for concurrent use.
 type tokens struct {
-	send func(peer string, m *wire.Fleet)
+	send  func(peer string, m *wire.Fleet)
+	clock func() time.Duration // counts suspension
 
 	mu            sync.Mutex
 	self          quota.Member
@@ -40,13 +41,19 @@
 	*quota.Account
 	holders []string        // others that earn tokens, the nearest first
 	waiting []chan struct{} // closed when a round of asking ends
-	askedAt time.Duration
-	open    int  // holders that have not answered
-	wide    bool // all holders have been asked in this round
+	askedAt time.Duration // of the last questions, in whole microseconds
+	open    int           // holders that have not answered them
+	wide    bool          // all holders have been asked in this round
+}
+
+// token is what a request has taken.
+type token struct {
+	taken bool
+	till  time.Duration // it may be given back until then
 }
 
 func newTokens(send func(string, *wire.Fleet)) *tokens {
-	return &tokens{send: send, accounts: make(map[string]*tokenAccount)}
+	return &tokens{send: send, clock: sinceBoot, accounts: make(map[string]*tokenAccount)}
 }
 
 // setMembers changes the daemons that share the rates. While they are not known
@@ -74,7 +81,7 @@
 
 // settle derives the accounts from members and organisations.
 func (t *tokens) settle() {
-	now := sinceBoot()
+	now := t.clock()
 	old := t.accounts
 	t.accounts = make(map[string]*tokenAccount, len(t.organisations))
 	for _, o := range t.organisations {
@@ -104,61 +111,73 @@
 			far = append(far[turn:], far[:turn]...)
 		}
 		a.holders = append(near, far...)
-		a.Set(now, quota.Terms{Rate: o.Rate, Burst: o.Burst}, share)
+		surplus := a.Set(now, quota.Terms{Rate: o.Rate, Burst: o.Burst}, share)
+		if surplus > 0 && len(a.holders) > 0 {
+			t.send(a.holders[0], tokenGrant(o.Name, surplus, givenBack))
+		}
 	}
 }
 
 // take takes a token and waits a moment for one on its way. When there is none
 // it returns the time after which the organisation may have one.
-func (t *tokens) take(ctx context.Context, organisation string) (ok bool, after time.Duration) {
+func (t *tokens) take(ctx context.Context, organisation string) (got token, after time.Duration) {
 	timer := time.NewTimer(tokenWait)
 	defer timer.Stop()
 	for first := true; ; first = false {
-		round, after, ok := t.tryTake(organisation, first)
-		if ok || round == nil {
-			return ok, after
+		got, round, after := t.tryTake(organisation, first)
+		if got.taken || round == nil {
+			return got, after
 		}
 		select {
 		case <-round:
 		case <-ctx.Done():
-			return false, after
+			return token{}, after
 		case <-timer.C:
-			return false, after
+			return token{}, after
 		}
 	}
 }
 
 // tryTake takes a token or returns a channel that is closed when a round of
 // asking ends, nil when asking is of no use.
-func (t *tokens) tryTake(organisation string, first bool) (round chan struct{}, after time.Duration, ok bool) {
-	now := sinceBoot()
+func (t *tokens) tryTake(organisation string, first bool) (got token, round chan struct{}, after time.Duration) {
+	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.accounts[organisation]
 	if a == nil {
-		return nil, 0, false
+		return token{}, nil, 0
 	}
-	if rest := a.Rest(now, false); rest > 0 && len(a.holders) > 0 {
-		t.send(a.holders[0], tokenGrant(organisation, rest))
-	}
-	ok = a.Take(now, first)
+	got.till, got.taken = a.Take(now, first)
 	waiting := len(a.waiting)
-	if !ok {
+	if !got.taken {
 		waiting++
 	}
 	short := a.Short(now, waiting)
 	if short > 0 {
 		t.ask(now, organisation, a, short)
 	}
-	if ok {
-		return nil, 0, true
+	if got.taken {
+		return got, nil, 0
 	}
 	if short == 0 || len(a.holders) == 0 {
-		return nil, a.NextIn(), false
+		return token{}, nil, a.NextIn()
 	}
 	round = make(chan struct{})
 	a.waiting = append(a.waiting, round)
-	return round, a.NextIn(), false
+	return token{}, round, a.NextIn()
+}
+
+// tick gives fetched tokens that are not used back to a holder.
+func (t *tokens) tick() {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for organisation, a := range t.accounts {
+		if idle := a.Idle(now); idle > 0 && len(a.holders) > 0 {
+			t.send(a.holders[0], tokenGrant(organisation, idle, givenBack))
+		}
+	}
 }
 
 // ask begins a round unless one is in progress.
@@ -166,30 +185,35 @@
 	if a.open > 0 && now-a.askedAt < tokenWait || len(a.holders) == 0 {
 		return
 	}
-	a.askedAt, a.open, a.wide = now, 1, false
-	t.send(a.holders[0], tokenRequest(organisation, want, false))
+	a.askedAt, a.open, a.wide = now.Truncate(time.Microsecond), 1, false
+	t.send(a.holders[0], tokenRequest(organisation, want, false, a.askedAt))
 }
 
-func tokenRequest(organisation string, amount float64, parts bool) *wire.Fleet {
-	return &wire.Fleet{Kind: &wire.Fleet_TokenRequest{TokenRequest: &wire.TokenRequest{Organisation: organisation, Amount: amount, Parts: parts}}}
+// givenBack stands for the time of the question in a grant that nobody asked for.
+const givenBack = 0
+
+func tokenRequest(organisation string, amount float64, parts bool, asked time.Duration) *wire.Fleet {
+	return &wire.Fleet{Kind: &wire.Fleet_TokenRequest{TokenRequest: &wire.TokenRequest{
+		Organisation: organisation, Amount: amount, Parts: parts, AskedUs: uint64(asked.Microseconds()),
+	}}}
 }
 
-func tokenGrant(organisation string, amount float64) *wire.Fleet {
-	return &wire.Fleet{Kind: &wire.Fleet_TokenGrant{TokenGrant: &wire.TokenGrant{Organisation: organisation, Amount: amount}}}
+func tokenGrant(organisation string, amount float64, askedUs uint64) *wire.Fleet {
+	return &wire.Fleet{Kind: &wire.Fleet_TokenGrant{TokenGrant: &wire.TokenGrant{Organisation: organisation, Amount: amount, AskedUs: askedUs}}}
 }
 
 // giveBack returns the token of a request that certainly did not run.
-func (t *tokens) giveBack(organisation string) {
+func (t *tokens) giveBack(organisation string, x token) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if a := t.accounts[organisation]; a != nil {
-		a.GiveBack(sinceBoot())
+	if a := t.accounts[organisation]; a != nil && x.taken {
+		a.GiveBack(t.clock(), x.till)
 	}
 }
 
 // receive takes in a token message of another daemon.
 func (t *tokens) receive(from string, m *wire.Fleet) {
-	now := sinceBoot()
+	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch k := m.Kind.(type) {
@@ -202,35 +226,53 @@
 			}
 			amount = grant(now, k.TokenRequest.Amount)
 		}
-		t.send(from, tokenGrant(k.TokenRequest.Organisation, amount))
+		t.send(from, tokenGrant(k.TokenRequest.Organisation, amount, k.TokenRequest.AskedUs))
 	case *wire.Fleet_TokenGrant:
-		if a := t.accounts[k.TokenGrant.Organisation]; a != nil {
-			t.granted(now, k.TokenGrant.Organisation, a, k.TokenGrant.Amount)
+		g := k.TokenGrant
+		a := t.accounts[g.Organisation]
+		if a == nil {
+			return
+		}
+		if g.AskedUs == givenBack {
+			a.Return(now, g.Amount)
+			return
+		}
+		asked := time.Duration(g.AskedUs) * time.Microsecond
+		a.Receive(now, asked, g.Amount)
+		if asked == a.askedAt {
+			t.answered(now, g.Organisation, a)
+		}
+		if a.Whole() > 0 || a.open == 0 {
+			a.wake()
 		}
 	}
 }
 
-// granted takes in one answer of a round. The nearest holder is asked first;
-// when it has too little, all others are.
-func (t *tokens) granted(now time.Duration, organisation string, a *tokenAccount, amount float64) {
-	a.Receive(now, amount)
+// answered counts one answer of a round. The nearest holder is asked first; when
+// it has too little, all others are.
+func (t *tokens) answered(now time.Duration, organisation string, a *tokenAccount) {
 	a.open = max(a.open-1, 0)
-	short := a.Short(now, len(a.waiting))
-	if a.open == 0 && !a.wide && short > 0 {
-		a.wide = true
+	if a.open > 0 {
+		return
+	}
+	if short := a.Short(now, len(a.waiting)); !a.wide && short > 0 {
+		a.wide, a.askedAt = true, now.Truncate(time.Microsecond)
 		for _, p := range a.holders {
-			t.send(p, tokenRequest(organisation, short, true))
+			t.send(p, tokenRequest(organisation, short, true, a.askedAt))
 			a.open++
 		}
-	} else if a.open == 0 && a.wide && a.Whole() == 0 {
+		return
+	}
+	if a.wide && a.Whole() == 0 {
 		a.Dry(now, dryPause)
-		if rest := a.Rest(now, true); rest > 0 && len(a.holders) > 0 {
-			t.send(a.holders[0], tokenGrant(organisation, rest))
+		if rest := a.Rest(now); rest > 0 && len(a.holders) > 0 {
+			t.send(a.holders[0], tokenGrant(organisation, rest, givenBack))
 		}
 	}
-	if a.Whole() == 0 && a.open > 0 {
-		return
-	}
+}
+
+// wake lets the requests that wait for tokens try again.
+func (a *tokenAccount) wake() {
 	for _, ch := range a.waiting {
 		close(ch)
 	}
--- a/sidecar/tokens_test.go
+++ b/sidecar/tokens_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"wisteriafold/membership"
+	"wisteriafold/quota"
 	"wisteriafold/routing"
 	"wisteriafold/wire"
 )
@@ -37,3 +39,37 @@
 	require.Greater(t, shares(daemons, two, all, true), 40.0, "what would be earned")
 	require.InDelta(t, 1, shares(daemons, func(int) []*membership.Entry { return all }, all, true), 1e-9)
 }
+
+// Pattern: the way between two daemons is slow, or one of them was suspended
+// while an answer was on its way.
+func TestAnswersToAnEarlierQuestionCountWhileTheyAreFresh(t *testing.T) {
+	var asked []*wire.TokenRequest
+	now := time.Hour
+	x := newTokens(func(_ string, m *wire.Fleet) { asked = append(asked, m.GetTokenRequest()) })
+	x.clock = func() time.Duration { return now }
+	x.apply([]routing.Organisation{{Name: "o", Rate: 5, Burst: 5}})
+	members := []*membership.Entry{{Peer: "a", DataCentre: "d"}, {Peer: "b", DataCentre: "d"}}
+	holder := quota.Holders("o", 5, []quota.Member{{Peer: "a", DataCentre: "d"}, {Peer: "b", DataCentre: "d"}})[0].Peer
+	self := members[0]
+	if self.Peer == holder {
+		self = members[1]
+	}
+	x.setMembers(self, members, true)
+	wanted := func() bool {
+		got, _, _ := x.tryTake("o", true)
+		return got.taken
+	}
+	answer := func(q *wire.TokenRequest) { x.receive(holder, tokenGrant("o", 1, q.AskedUs)) }
+
+	require.False(t, wanted())
+	now += tokenWait
+	require.False(t, wanted())
+	require.Len(t, asked, 2, "the first question was not answered in time")
+	answer(asked[0])
+	require.True(t, wanted(), "its answer is fresh")
+	now += time.Second
+	answer(asked[1])
+	require.False(t, wanted(), "the holder has earned that token again")
+	x.receive(holder, tokenGrant("o", 1, givenBack))
+	require.False(t, wanted(), "only a holder takes tokens back")
+}
