--- a/sidecar/tokens.go
+++ b/sidecar/tokens.go
@@ -41,9 +41,9 @@
 	*quota.Account
 	holders []string        // others that earn tokens, the nearest first
 	waiting []chan struct{} // closed when a round of asking ends
-	askedAt time.Duration // of the last questions, in whole microseconds
-	open    int           // holders that have not answered them
-	wide    bool          // all holders have been asked in this round
+	askedAt time.Duration   // of the last questions, in whole microseconds
+	open    int             // holders that have not answered them
+	wide    bool            // all holders have been asked in this round
 }
 
 // token is what a request has taken.
