sidecar: a round of asking for tokens has eight holders at most

Cause: an organisation far above its rate has a holder for each 12 tokens of its burst, 33 for a burst of 400, nearly all of them empty.

Change: after the nearest holder a round asks eight, in turn.

TestARoundOfAskingDoesNotGrowWithTheHolders fails before (33 of 33 each round).

--- a/sidecar/tokens.go
+++ b/sidecar/tokens.go
@@ -21,6 +21,11 @@
 
 	// dryPause is the time without asking after no holder had tokens.
 	dryPause = 100 * time.Millisecond
+
+	// maxAsked bounds the holders that are asked in one round. An organisation
+	// far above its rate has tens of them, nearly all empty, and every daemon
+	// asks.
+	maxAsked = 8
 )
 
 // tokens holds the accounts of all organisations at this daemon. It is safe
@@ -44,7 +49,8 @@
 	waiting []chan struct{} // closed when a round of asking ends
 	askedAt time.Duration   // of the last questions, in whole microseconds
 	open    int             // holders that have not answered them
-	wide    bool            // all holders have been asked in this round
+	wide    bool            // several holders have been asked in this round
+	turn    int             // holder with which the next wide round begins
 }
 
 // token is what a request has taken.
@@ -253,7 +259,7 @@
 }
 
 // answered counts one answer of a round. The nearest holder is asked first; when
-// it has too little, all others are.
+// it has too little, several are, in turn.
 func (t *tokens) answered(now time.Duration, organisation string, a *tokenAccount) {
 	a.open = max(a.open-1, 0)
 	if a.open > 0 {
@@ -261,8 +267,9 @@
 	}
 	if short := a.Short(now, len(a.waiting)); !a.wide && short > 0 {
 		a.wide, a.askedAt = true, now.Truncate(time.Microsecond)
-		for _, p := range a.holders {
-			t.send(p, tokenRequest(organisation, short, true, a.askedAt))
+		for range min(len(a.holders), maxAsked) {
+			a.turn = (a.turn + 1) % len(a.holders)
+			t.send(a.holders[a.turn], tokenRequest(organisation, short, true, a.askedAt))
 			a.open++
 		}
 		return
--- a/sidecar/tokens_test.go
+++ b/sidecar/tokens_test.go
@@ -104,3 +104,36 @@
 	allocations := testing.AllocsPerRun(10, func() { d.tokens.setMembers(all[0], all, d.control.whole) })
 	require.Less(t, allocations, float64(organisations), "only states have changed")
 }
+
+// Pattern: an organisation with many holders sends far above its rate at every
+// daemon, and all holders are empty.
+func TestARoundOfAskingDoesNotGrowWithTheHolders(t *testing.T) {
+	asked := make(map[string]int)
+	sent := 0
+	now := time.Hour
+	x := newTokens(func(peer string, m *wire.Fleet) {
+		if m.GetTokenRequest() != nil {
+			asked[peer]++
+			sent++
+		}
+	})
+	x.clock = func() time.Duration { return now }
+	x.apply([]routing.Organisation{{Name: "o", Rate: 400, Burst: 400}})
+	var all []*membership.Entry
+	for i := range 91 {
+		all = append(all, &membership.Entry{Peer: fmt.Sprintf("10.0.0.%d:7000", i), DataCentre: fmt.Sprintf("dc%d", i%6)})
+	}
+	x.setMembers(&membership.Entry{Peer: "elsewhere", DataCentre: "dc0"}, all, true)
+	holders := x.accounts["o"].holders
+	require.Len(t, holders, 33)
+	const rounds = 20
+	for range rounds {
+		x.tryTake("o", true)
+		for open := 1; open > 0; open = x.accounts["o"].open {
+			x.receive("any", tokenGrant("o", 0, uint64(x.accounts["o"].askedAt.Microseconds())))
+		}
+		now += tokenWait + dryPause
+	}
+	require.LessOrEqual(t, sent, rounds*(maxAsked+1))
+	require.Len(t, asked, len(holders), "all are asked in turn")
+}
