--- a/review/lab/slowread.go
+++ b/review/lab/slowread.go
@@ -17,9 +17,9 @@
 // slowly, but well within their deadline and the route's timeout.
 func slowRead(w *world, trouble bool) string {
 	const (
-		answerBytes = 16 << 20
+		answerBytes = 20 << 20
 		clients     = 2
-		readFor     = 5 * time.Second // in which a client reads its answer
+		readFor     = 5200 * time.Millisecond // in which a client reads its answer
 		timeoutMs   = 8000
 	)
 	a := w.add("fuk-a", "fukuoka", "archive")
@@ -44,7 +44,7 @@
 
 	var wg sync.WaitGroup
 	cut := make([]string, clients)
-	stopAt := time.Now().Add(500 * time.Millisecond)
+	stopAt := time.Now().Add(400 * time.Millisecond)
 	for i := range clients {
 		wg.Add(1)
 		go func() {
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -59,7 +60,8 @@
 	}
 	w := &world{dir: dir, store: startStore(), record: f, start: time.Now()}
 	current = w
-	w.ports = ports{outbound: freePort(), ready: freePort(), control: freePort(), inbound: freePort(), app: freePort(), internal: freePair()}
+	p := freePorts()
+	w.ports = ports{outbound: p, ready: p + 1, control: p + 2, inbound: p + 3, app: p + 4, internal: p + 5}
 	return w
 }
 
@@ -70,27 +72,33 @@
 	fmt.Fprintf(w.record, "%8.3f %s\n", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// freePort returns a port that nothing listens on at any loopback address.
-func freePort() int {
-	ln, err := net.Listen("tcp", "0.0.0.0:0")
-	if err != nil {
-		cannotRun("free port: %v", err)
-	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
-}
+// Ports are taken from below the range from which the kernel takes those of outgoing
+// connections.
+const (
+	firstPort = 12000
+	portCount = 18000
+	portsUsed = 7
+)
 
-// freePair returns the first of two consecutive free ports.
-func freePair() int {
-	for range 100 {
-		p := freePort()
-		ln, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p+1))
-		if err == nil {
-			ln.Close()
-			return p
+// freePorts returns the first of consecutive ports that nothing listens on at any
+// loopback address.
+func freePorts() int {
+	for range 1000 {
+		first := firstPort + rand.IntN(portCount)
+		free := true
+		for p := first; p < first+portsUsed && free; p++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+			if err != nil {
+				free = false
+				continue
+			}
+			_ = ln.Close()
+		}
+		if free {
+			return first
 		}
 	}
-	cannotRun("no two consecutive free ports")
+	cannotRun("no free ports")
 	return 0
 }
 
