--- a/review/lab/quota.go
+++ b/review/lab/quota.go
@@ -64,6 +64,7 @@
 		mu.Lock()
 		statuses[r.status]++
 		mu.Unlock()
+		w.log("client of %s got status %d", id, r.status)
 	}
 	w.log("the tenant sends many times its usual")
 	wg.Add(1)
