loadreport: one type for the state that a gate reports

The gate's report (backend.Report) and the report that choosers read (service.Load) were two types with the same fields, copied by hand in both data paths.

--- a/backend/gate.go
+++ b/backend/gate.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"wisteriafold/loadreport"
 	"wisteriafold/request"
 )
 
@@ -30,15 +31,8 @@
 	draining   atomic.Bool
 }
 
-// Report is the state of a gate.
-type Report struct {
-	InFlight    int              // running calls
-	Queued      int              // waiting calls
-	Limit       int              // concurrency limit
-	ServiceTime time.Duration    // observed median, or 0 while unknown
-	Level       request.Priority // admission level
-	Draining    bool
-}
+// Report is the state of a gate and its backend server.
+type Report = loadreport.Report
 
 // Permit is the permission to send one call to the backend server. Done must be
 // called exactly once.
@@ -114,9 +108,9 @@
 // Report returns the current state without taking a lock.
 func (g *Gate) Report() Report {
 	return Report{
-		InFlight:    int(g.inFlight.Load()),
-		Queued:      int(g.waiting.Load()),
-		Limit:       int(g.limit.Load()),
+		InFlight:    uint32(g.inFlight.Load()),
+		Queued:      uint32(g.waiting.Load()),
+		Limit:       uint32(g.limit.Load()),
 		ServiceTime: time.Duration(g.service.Load()),
 		Level:       request.Priority(g.level.Load()),
 		Draining:    g.draining.Load(),
--- a/bench/gate.go
+++ b/bench/gate.go
@@ -126,7 +126,7 @@
 		InFlight:    uint32(g.core.Running()),
 		Limit:       uint32(g.core.Limit()),
 		ServiceTime: g.core.ServiceTime(),
-		Level:       uint32(g.core.Level()),
+		Level:       g.core.Level(),
 	}
 }
 
--- a/instance/forward.go
+++ b/instance/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriafold/loadreport"
 	"wisteriafold/request"
 	"wisteriafold/service"
 	"wisteriafold/wire"
@@ -116,14 +117,8 @@
 func observationOf(ctx context.Context, took time.Duration, head *wire.AnswerHead, fail *failure) service.Observation {
 	o := service.Observation{Result: service.Succeeded, Duration: took}
 	if head != nil {
-		o.Report = &service.Load{
-			Queued:      head.QueueDepth,
-			InFlight:    head.InFlight,
-			Limit:       head.Limit,
-			ServiceTime: time.Duration(head.ServiceUs) * time.Microsecond,
-			Level:       head.GateLevel,
-			Draining:    head.Draining,
-		}
+		report := loadreport.FromAnswer(head)
+		o.Report = &report
 		if head.Status >= 500 {
 			o.Result = service.Failed
 		}
--- a/instance/gatecall.go
+++ b/instance/gatecall.go
@@ -99,13 +99,8 @@
 // carries.
 func (d *Daemon) report(h *wire.AnswerHead, run *runningCall) {
 	r := d.gate.Report()
-	h.GateLevel = uint32(r.Level)
+	r.ToAnswer(h)
 	h.WorstLevel = h.GateLevel
-	h.QueueDepth = uint32(r.Queued)
-	h.InFlight = uint32(r.InFlight)
-	h.Limit = uint32(r.Limit)
-	h.ServiceUs = uint32(r.ServiceTime.Microseconds())
-	h.Draining = r.Draining
 	if run == nil {
 		return
 	}
--- a/service/observation.go
+++ b/service/observation.go
@@ -1,6 +1,10 @@
 package service
 
-import "time"
+import (
+	"time"
+
+	"wisteriafold/loadreport"
+)
 
 // Result is the result of one attempt, as seen by the daemon that sent it.
 type Result uint8
@@ -26,13 +30,5 @@
 	Report   *Load         // load report carried by the answer; nil if there was none
 }
 
-// Load is an endpoint's report of its own load. It is a hint: costs also use
-// what this daemon has measured.
-type Load struct {
-	Queued      uint32        // calls waiting at the gate
-	InFlight    uint32        // calls running
-	Limit       uint32        // current concurrency limit
-	ServiceTime time.Duration // smoothed service time
-	Level       uint32        // admission level of the gate; 0 admits every call
-	Draining    bool          // accepts no new calls
-}
+// Load is an endpoint's report of its own load.
+type Load = loadreport.Report
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/link"
+	"wisteriafold/loadreport"
 	"wisteriafold/request"
 	"wisteriafold/service"
 	"wisteriafold/wire"
@@ -261,14 +262,8 @@
 	o := service.Observation{Result: service.Succeeded, Duration: took}
 	if h != nil {
 		o.Bytes = h.BodyBytes
-		o.Report = &service.Load{
-			Queued:      h.QueueDepth,
-			InFlight:    h.InFlight,
-			Limit:       h.Limit,
-			ServiceTime: time.Duration(h.ServiceUs) * time.Microsecond,
-			Level:       h.GateLevel,
-			Draining:    h.Draining,
-		}
+		report := loadreport.FromAnswer(h)
+		o.Report = &report
 		if h.Status >= fasthttp.StatusInternalServerError {
 			o.Result = service.Failed
 			if h.RetriedBelow || h.Status == fasthttp.StatusGatewayTimeout {
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -279,11 +279,7 @@
 // every answer. below is the highest admission level reported to calls of the request.
 func (d *Daemon) report(h *wire.AnswerHead, below request.Priority) {
 	r := d.gate.Report()
-	h.GateLevel = uint32(r.Level)
+	r.Draining = d.backendSnapshot.Load().state >= membership.Draining
+	r.ToAnswer(h)
 	h.WorstLevel = uint32(max(r.Level, below))
-	h.QueueDepth = uint32(r.Queued)
-	h.InFlight = uint32(r.InFlight)
-	h.Limit = uint32(r.Limit)
-	h.ServiceUs = uint32(r.ServiceTime.Microseconds())
-	h.Draining = d.backendSnapshot.Load().state >= membership.Draining
 }
