quota, sidecar: a suspended daemon drops the tokens that it has saved

Callers saw nothing; an organisation got more than its rate.

Cause: nothing made a holder drop saved tokens. Every use of an account now compares the time, which includes suspensions, with that of the last periodic work; after 4 s or more (removal after 6 s, less three refresh intervals) saved tokens are void. They are also dropped when the daemon learns that it was removed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,7 +20,7 @@
 	readSpread      = 400 * time.Millisecond  // range over which the daemons spread that age, so that one reads and the others ask it
 	readPause       = 500 * time.Millisecond  // minimum time between two reads of the store by one daemon
 	repairEvery     = 3 * time.Second         // time between two comparisons of the directory with a daemon of another region
-	removeAfter     = 6 * time.Second         // time without messages after which a daemon is removed; by then it refuses requests with a key, so its share of the rate limits is free
+	RemoveAfter     = 6 * time.Second         // time without messages after which a daemon is removed; by then it refuses requests with a key, so its share of the rate limits is free
 	mergePause      = time.Second             // minimum time between two requests for a complete directory
 
 	// never stands for an event that has not happened. It is earlier than any
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -302,7 +302,7 @@
 		w.run(3 * time.Second)
 		lost := w.daemons[seed].peer
 		w.paused = func(peer string) bool { return peer == lost }
-		w.run(3*time.Second + removeAfter - time.Second)
+		w.run(3*time.Second + RemoveAfter - time.Second)
 		require.Empty(t, w.removed, "a daemon is not removed after a short pause")
 		w.run(18 * time.Second)
 		require.Equal(t, []string{lost}, w.removed, "seed %d", seed)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -10,7 +10,7 @@
 )
 
 // removeGone removes the daemons of this region from which this daemon, which reads
-// the store for the region, has received no message for removeAfter. A removed
+// the store for the region, has received no message for RemoveAfter. A removed
 // daemon that is still running learns of its removal and announces itself again
 // with a new incarnation.
 func (f *Fleet) removeGone(now, age time.Duration) {
@@ -19,7 +19,7 @@
 		return
 	}
 	for _, e := range f.dir.Members() {
-		if e.Peer == f.self.Peer || e.Region != f.self.Region || now-max(f.lastHeard[e.Peer], f.sourceSince) < removeAfter {
+		if e.Peer == f.self.Peer || e.Region != f.self.Region || now-max(f.lastHeard[e.Peer], f.sourceSince) < RemoveAfter {
 			continue
 		}
 		gone := proto.Clone(e).(*membership.Entry)
--- a/quota/account.go
+++ b/quota/account.go
@@ -76,6 +76,13 @@
 	return surplus
 }
 
+// Drop removes all tokens without replacement and earns none for the time before now,
+// because other daemons have earned them again.
+func (a *Account) Drop(now time.Duration) {
+	a.updatedAt = max(a.updatedAt, now)
+	a.tokens = 0
+}
+
 // Unlimited reports whether the organisation has no limit.
 func (a *Account) Unlimited() bool { return a.terms.Rate <= 0 }
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -250,9 +250,11 @@
 func (c *control) Document() []byte { return c.document }
 
 // Superseded implements fleet.Delegate. It raises the incarnation above the given
-// one, which an earlier process at this address used because its clock was ahead.
+// one, which an earlier process at this address used because its clock was ahead, or
+// which others have removed. The latter have earned the tokens of this daemon again.
 func (c *control) Superseded(incarnation int64) {
 	c.incarnation = max(c.incarnation, incarnation+1)
+	c.d.tokens.dropSaved()
 	c.announce()
 }
 
--- a/sidecar/tokens.go
+++ b/sidecar/tokens.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wisteriafold/fleet"
 	"wisteriafold/membership"
 	"wisteriafold/quota"
 	"wisteriafold/routing"
@@ -37,6 +38,7 @@
 	clock func() time.Duration // keeps counting while the process is suspended
 
 	mu            sync.Mutex
+	tickedAt      time.Duration // last time at which tick ran; 0 before the first time
 	self          quota.Member
 	members       []quota.Member
 	complete      bool // members contains all daemons
@@ -56,6 +58,36 @@
 	lastAsked      int             // index in holders of the one asked last in such a round
 }
 
+// maxPause is the longest time without a tick after which saved tokens are still
+// valid. Other daemons remove one that has been silent for fleet.RemoveAfter, and earn
+// its share from then on; its last message may be some refresh intervals older than the
+// pause.
+const maxPause = fleet.RemoveAfter - 3*fleet.RefreshInterval
+
+// now returns the time. When the process was suspended for so long that other daemons
+// may have earned its tokens again, it drops the saved tokens first. t.mu must be held.
+func (t *tokens) now() time.Duration {
+	now := t.clock()
+	if t.tickedAt != 0 && now-t.tickedAt > maxPause {
+		t.drop(now)
+	}
+	return now
+}
+
+// dropSaved drops all saved tokens, because other daemons have earned them again.
+func (t *tokens) dropSaved() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drop(t.clock())
+}
+
+func (t *tokens) drop(now time.Duration) {
+	t.tickedAt = now
+	for _, a := range t.accounts {
+		a.Drop(now)
+	}
+}
+
 // token is the result of taking a token for a request.
 type token struct {
 	taken           bool
@@ -95,7 +127,7 @@
 // rebuildAccounts computes holders and shares of all accounts from the members and
 // the organisations.
 func (t *tokens) rebuildAccounts() {
-	now := t.clock()
+	now := t.now()
 	old := t.accounts
 	t.accounts = make(map[string]*tokenAccount, len(t.organisations))
 	for _, o := range t.organisations {
@@ -157,9 +189,9 @@
 // channel that is closed when the caller should try again, or nil when no tokens can
 // be requested now. first is false when the request has tried before.
 func (t *tokens) tryTake(organisation string, first bool) (got token, round chan struct{}, after time.Duration) {
-	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	a := t.accounts[organisation]
 	if a == nil {
 		return token{}, nil, 0
@@ -186,9 +218,10 @@
 
 // tick returns unused tokens that were fetched from other daemons to a holder.
 func (t *tokens) tick() {
-	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
+	t.tickedAt = now
 	for organisation, a := range t.accounts {
 		if idle := a.TakeExpiring(now); idle > 0 && len(a.holders) > 0 {
 			t.send(a.holders[0], tokenGrant(organisation, idle, notAsked))
@@ -225,15 +258,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a := t.accounts[organisation]; a != nil && x.taken {
-		a.GiveBack(t.clock(), x.returnableUntil)
+		a.GiveBack(t.now(), x.returnableUntil)
 	}
 }
 
 // receive handles a token message from another daemon.
 func (t *tokens) receive(from string, m *wire.Fleet) {
-	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	switch k := m.Kind.(type) {
 	case *wire.Fleet_TokenRequest:
 		amount := 0.0
--- a/sidecar/tokens_test.go
+++ b/sidecar/tokens_test.go
@@ -142,3 +142,44 @@
 	require.LessOrEqual(t, sent, rounds*(maxHoldersAsked+1))
 	require.Len(t, asked, len(holders), "successive rounds ask all holders")
 }
+
+// Failure: a daemon is suspended until the others have removed it and earned its share
+// of the tokens again. When it goes on, it spends the tokens that it has saved, and an
+// organisation gets them twice. Every event that may come first after the suspension is
+// tried.
+func TestSuspendedHolderSpendsNoTokensThatOthersHaveEarned(t *testing.T) {
+	for name, first := range map[string]func(*tokens){
+		"request":  func(*tokens) {},
+		"tick":     (*tokens).tick,
+		"members":  func(x *tokens) { x.apply([]routing.Organisation{{Name: "o", Rate: 10, Burst: 700}}) },
+		"question": func(x *tokens) { x.receive("b", tokenRequest("o", 0.1, true, time.Second)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			granted := 0.0
+			now := time.Hour
+			x := newTokens(func(_ string, m *wire.Fleet) { granted += m.GetTokenGrant().GetAmount() })
+			x.clock = func() time.Duration { return now }
+			self := &membership.Entry{Peer: "a", DataCentre: "d"}
+			x.apply([]routing.Organisation{{Name: "o", Rate: 10, Burst: 700}})
+			x.setMembers(self, []*membership.Entry{self}, true)
+			for range 1000 { // 100 s: the whole burst is saved
+				now += 100 * time.Millisecond
+				x.tick()
+			}
+			require.Equal(t, 700, x.accounts["o"].WholeTokens())
+
+			now += 10 * time.Second // suspended
+			first(x)
+			got, _, _ := x.tryTake("o", true)
+			require.False(t, got.taken)
+			require.Zero(t, granted)
+
+			now += 100 * time.Millisecond // tokens are earned from the end of the suspension on
+			x.tick()
+			got, _, _ = x.tryTake("o", true)
+			require.True(t, got.taken)
+			got, _, _ = x.tryTake("o", true)
+			require.False(t, got.taken)
+		})
+	}
+}
