membership, platform/host: a foreign heartbeat hides no shutdown

Cause: a heartbeat of another writer, with fields missing, raised the sequence number above those of the backend server.

--- a/membership/local.go
+++ b/membership/local.go
@@ -50,12 +50,15 @@
 	if h.StartMs != 0 && h.StartMs < l.startMs {
 		return false, false
 	}
-	otherIncarnation := h.ID != l.id || h.StartMs > l.startMs && l.startMs != 0
+	if h.State != Gone && h.StartMs == 0 && l.startMs != 0 && h.ID == l.id {
+		return false, false // of another writer: this backend server gives its start time in every heartbeat
+	}
+	otherIncarnation := h.ID != l.id || h.StartMs > l.startMs && (l.startMs != 0 || l.heartbeatSeen)
 	if h.State == Gone && otherIncarnation && l.id != "" && h.StartMs <= l.startMs {
 		return false, false // deregistration of an earlier incarnation
 	}
 	if !otherIncarnation {
-		if l.heartbeatSeen && h.Sequence != 0 && h.Sequence <= l.sequence {
+		if l.heartbeatSeen && h.Sequence != 0 && h.Sequence <= l.sequence && !l.leavesNow(h) {
 			return false, false
 		}
 		if l.state == Gone || l.state == Draining && h.State == Ready {
@@ -69,6 +72,20 @@
 	return before.state != l.state || before.id != l.id || before.startMs != l.startMs || before.slots != l.slots, otherIncarnation && before.id != ""
 }
 
+// leavesNow reports whether h announces that the known incarnation leaves. That is
+// final, so that the sequence does not matter: a heartbeat of another writer may have
+// raised it above those of the backend server.
+func (l *Local) leavesNow(h Heartbeat) bool {
+	return h.StartMs != 0 && h.StartMs == l.startMs && h.State > l.state && h.State >= Draining
+}
+
+// Reflects reports whether the state contains what h says about leaving. A heartbeat
+// for which it does not hold must not be acknowledged: the backend server relies on
+// the acknowledgement when it leaves.
+func (l *Local) Reflects(h Heartbeat) bool {
+	return h.State < Draining || h.ID != l.id || l.state >= h.State
+}
+
 // apply stores the values of an accepted heartbeat or deregistration.
 func (l *Local) apply(h Heartbeat, otherIncarnation bool) {
 	l.id, l.state, l.heartbeatSeen = h.ID, h.State, true
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -210,3 +210,41 @@
 		NewLocal(e.Service).Restore(e)
 	})
 }
+
+// Failure: one heartbeat of another writer, with a high sequence number and without a
+// start time, makes the daemon ignore the heartbeats of the backend server that follow,
+// and send it requests after it has announced its shutdown. All orders of a few
+// heartbeats are tried.
+func TestHeartbeatOfAnotherWriterHidesNoDrain(t *testing.T) {
+	const born = 1700000000123
+	own := []Heartbeat{
+		{ID: "i", StartMs: born, Sequence: 4, State: Ready, Service: "s", Slots: 8},
+		{ID: "i", StartMs: born, Sequence: 5, State: Ready, Service: "s", Slots: 8},
+		{ID: "i", StartMs: born, Sequence: 6, State: Draining, Service: "s", Slots: 8},
+	}
+	foreign := Heartbeat{ID: "i", Sequence: 1700000000, State: Ready, Service: "s", Slots: 8}
+	for at := range len(own) + 1 {
+		l := NewLocal("s")
+		for i := range len(own) + 1 {
+			if i == at {
+				l.HandleHeartbeat(foreign)
+			}
+			if i < len(own) {
+				l.HandleHeartbeat(own[i])
+				require.True(t, l.Reflects(own[i]))
+			}
+		}
+		require.Equal(t, Draining, l.State(), "foreign heartbeat at position %d", at)
+	}
+}
+
+// Failure: a heartbeat that announces the shutdown is acknowledged although it changes
+// nothing, so that the backend server leaves while it is still in use.
+func TestDrainThatIsIgnoredIsNotAcknowledged(t *testing.T) {
+	l := NewLocal("s")
+	l.HandleHeartbeat(Heartbeat{ID: "i", Sequence: 9, State: Ready, Service: "s", Slots: 8})
+	late := Heartbeat{ID: "i", Sequence: 3, State: Draining, Service: "s", Slots: 8}
+	l.HandleHeartbeat(late)
+	require.Equal(t, Ready, l.State())
+	require.False(t, l.Reflects(late))
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -283,18 +283,20 @@
 	c.d.tokens.setMembers(c.d.self(), *c.d.members.Load(), c.directoryComplete)
 }
 
-// handleHeartbeat handles a heartbeat of the local backend server.
-func (c *control) handleHeartbeat(h membership.Heartbeat) {
+// handleHeartbeat handles a heartbeat of the local backend server. It reports whether
+// the heartbeat may be acknowledged.
+func (c *control) handleHeartbeat(h membership.Heartbeat) bool {
 	before := c.local.State()
 	changed, restarted := c.local.HandleHeartbeat(h)
 	if !changed {
-		return
+		return c.local.Reflects(h)
 	}
 	c.d.log.Info("backend server", "id", c.local.ID(), "born", c.local.StartMs(), "state", c.local.State().String(), "before", before.String(), "sequence", h.Sequence, "restarted", restarted)
 	if restarted {
 		c.d.gate.Restart()
 	}
 	c.backendChanged()
+	return c.local.Reflects(h)
 }
 
 // Restore implements fleet.Delegate. It takes over what a previous daemon at this
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -29,10 +29,16 @@
 		hc.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
 		return
 	}
-	if !d.control.postAndWait(d.background, func() { d.control.handleHeartbeat(h) }) {
+	taken := false
+	if !d.control.postAndWait(d.background, func() { taken = d.control.handleHeartbeat(h) }) {
 		hc.Error("the daemon is stopping\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if !taken {
+		d.log.Warn("heartbeat not acknowledged: it was taken for an earlier one", "id", h.ID, "born", h.StartMs, "sequence", h.Sequence, "state", h.State.String())
+		hc.Error("the heartbeat is not newer than an earlier one: send it with the start time and a higher sequence\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
 	hc.SetContentType("application/json")
 	hc.SetBody(d.dialect.HeartbeatResponse())
 }
