Restrict requests to the regions of their route and organisation

A route or an organisation may now name allowed regions, because the data of some organisations must not leave them. The entry determines the regions (intersection of the two) and puts them into the call; the choice of endpoints skips others, also when it spills, retries or fails open; the gate refuses a call whose regions, or its own newer configuration, exclude its region, before it waits and again when it would run. A request without a usable endpoint in its regions is refused as not run with reason home-region and Retry-After.

A region that the settings do not declare locks out the route or organisation that names it, with a notice, and nothing else.

The picker keeps a subset of each other region for services with such calls: the subset of all other regions together may contain none of a small one. The deployment of the sidecar tests gets a hook for settings; no existing test changes.

Tests: TestCallsStayInTheirRegionsAndOutOfEvacuatedDataCentres (rapid), TestNoOrderOfEventsTakesARequestOutOfItsRegions (rapid), TestRequestsAreServedInTheirHomeRegionsOnly, TestWaitingCallIsRefusedWhenItsRegionIsWithdrawn, TestSmallHomesAreReachedFromLargeDeployments, TestRegionsOfRouteAndOrganisationBothBind, TestAllowedRegionsAndDataCentresAreRead: ok. With the check in the picker, in failing open, in the recheck of the entry or in the gate taken out, one of them failed each time.

--- a/request/call.go
+++ b/request/call.go
@@ -23,6 +23,7 @@
 	WorkSpent    bool          // a backend server has already worked for this tree
 	BodyBytes    int64         // size of the request body in bytes; -1 if unknown
 	AnswerBytes  int64         // typical size of an answer on the route in bytes; 0 if unknown
+	Regions      []string      // the only regions that may serve the call; nil for no restriction
 	Claimed      bool          // the request holds a claim on its idempotency key
 	Remaining    time.Duration // time left until the deadline when the call was received, for logs
 }
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -62,6 +62,8 @@
 	ReasonShutdown      Reason = "shutting-down"   // this daemon is stopping
 	ReasonBusy          Reason = "daemon-busy"     // this daemon has reached its own limits
 	ReasonUnknownMember Reason = "not-this-daemon" // the call was addressed to another daemon process
+	ReasonHomeRegion    Reason = "home-region"     // no region to which the request is restricted can serve it
+	ReasonEvacuated     Reason = "evacuated"       // the data centre is evacuated
 )
 
 // Error is the error for a call that was not answered.
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -44,6 +44,8 @@
 	Rank        int           // 0 is the most important
 	MaxAttempts int           // maximum number of backend servers that one request may be sent to
 	Parts       []Part        // services among which the requests are split by weight
+	Regions     []string      // the only regions that may serve the requests; empty for no restriction
+	LockedOut   bool          // no region may, see LockOutUndeclared
 }
 
 // Part is one service of a route and its weight in the split.
@@ -66,6 +68,9 @@
 	Rate  float64 // requests per second, 0 for no limit
 	Burst float64 // requests
 	Rank  int     // overrides the route's rank; NoRank if not given
+
+	Regions   []string // the only regions that may serve its requests; empty for no restriction
+	LockedOut bool     // no region may, see LockOutUndeclared
 }
 
 // ConfigurationError is the error for a rejected configuration document.
--- a/routing/table.go
+++ b/routing/table.go
@@ -29,6 +29,9 @@
 	prefixes map[string]map[string]*target
 	keys     map[KeyDigest]*Organisation
 	services map[string]*Service
+
+	restricted bool                // a route or an organisation has regions
+	byName     map[string][]*Route // of a restricted table
 }
 
 // target is a route with the state of its traffic split.
@@ -54,6 +57,8 @@
 		prefixes:      make(map[string]map[string]*target),
 		keys:          make(map[KeyDigest]*Organisation),
 		services:      make(map[string]*Service, len(c.Services)),
+		byName:        make(map[string][]*Route),
+		restricted:    c.restricts(),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -68,6 +73,9 @@
 			}
 		}
 		t.prefixes[host][r.Prefix] = x
+		if t.restricted {
+			t.byName[r.Name] = append(t.byName[r.Name], r)
+		}
 	}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
--- a/service/decision.go
+++ b/service/decision.go
@@ -39,11 +39,13 @@
 	SkipNoHeadroom       // it has no spare capacity for calls from other regions
 	SkipLargeBody        // the body is too large to leave the region
 	SkipLinkBudget       // the byte budget of the link to its region is used up
+	SkipHomeRegion       // the call is restricted to other regions
+	SkipEvacuated        // its data centre is evacuated
 )
 
 var skipNames = [...]string{
 	"none", "tried", "draining", "ejected", "unreachable", "higher-cost",
-	"no-headroom", "large-body", "link-budget",
+	"no-headroom", "large-body", "link-budget", "home-region", "evacuated",
 }
 
 // String returns the name used in logs.
--- a/service/endpoint.go
+++ b/service/endpoint.go
@@ -10,4 +10,5 @@
 	Connections uint32 // maximum number of connections that the backend server accepts
 	Incarnation uint64 // set when its daemon starts; distinguishes successive daemons at one address
 	Draining    bool   // accepts no new calls
+	Evacuated   bool   // its data centre is evacuated: it must receive no calls
 }
--- a/service/observe.go
+++ b/service/observe.go
@@ -37,6 +37,7 @@
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
+	s.saysEvacuated.Store(r.Evacuated)
 }
 
 // succeed resets the counts of consecutive failures, failed dials and ejections.
--- a/service/pick.go
+++ b/service/pick.go
@@ -38,12 +38,15 @@
 func (p *Picker) Pick(now time.Time, rng *rand.Rand, call *request.Call, tried []string) (Endpoint, Decision, error) {
 	w := pick{picker: p, now: p.since(now), rng: rng, call: call, tried: tried}
 	v := p.view.Load()
+	if call.Regions != nil {
+		v = v.restrictedTo(call.Regions)
+	}
 	best := w.choose(v)
 	if best.state == nil {
 		best = w.failOpen(v)
 	}
 	if best.state == nil {
-		return Endpoint{}, w.decision, errNoEndpoint
+		return Endpoint{}, w.decision, w.noEndpoint(v)
 	}
 	w.decision.Peer = best.state.endpoint.Peer
 	w.decision.Locality = best.state.locality
@@ -99,6 +102,9 @@
 func (w *pick) draw(states []*state, nearer bool) candidate {
 	n := 0
 	for _, s := range states {
+		if n == maxSubset {
+			break
+		}
 		if why := w.skip(s, nearer); why != SkipNone {
 			w.decision.addPassedOver(s.endpoint.Peer, why, 0)
 			continue
@@ -149,6 +155,9 @@
 // skip returns the reason for which this call cannot use s, or SkipNone. nearer
 // means that a nearer locality has a candidate.
 func (w *pick) skip(s *state, nearer bool) Skip {
+	if w.outside(s) {
+		return SkipHomeRegion
+	}
 	if slices.Contains(w.tried, s.endpoint.Peer) {
 		return SkipTried
 	}
@@ -230,7 +239,7 @@
 	for _, states := range v.byLocality {
 		for _, s := range states {
 			why := s.skip(w.now)
-			if why != SkipEjected && why != SkipUnreachable || slices.Contains(w.tried, s.endpoint.Peer) {
+			if why != SkipEjected && why != SkipUnreachable || w.outside(s) || slices.Contains(w.tried, s.endpoint.Peer) {
 				continue
 			}
 			if best == nil || s.excludedUntil.Load() < best.excludedUntil.Load() {
--- a/service/picker.go
+++ b/service/picker.go
@@ -18,14 +18,16 @@
 	answerSize atomic.Int64 // smoothed size of answer bodies, bytes
 	typical    atomicFloat  // smoothed response time over all endpoints, without network latency, ns
 
-	set  sync.Mutex // serialises SetEndpoints
-	view atomic.Pointer[view]
+	set   sync.Mutex // serialises SetEndpoints
+	homes bool       // see EnableHomes
+	view  atomic.Pointer[view]
 }
 
 // view is an immutable set of endpoints.
 type view struct {
 	byLocality [Localities][]*state
 	byPeer     map[string]*state
+	homes      map[string][]*state // subset of each other region; nil without EnableHomes
 }
 
 // NewPicker returns a Picker without endpoints. start is a time before the first
@@ -56,12 +58,15 @@
 	}
 	next := &view{byPeer: make(map[string]*state)}
 	for l := range byLocality {
-		for _, e := range subset(byLocality[l], p.self.Peer, p.seed, p.config.Subset[l]) {
+		for _, e := range p.subsetOf(byLocality[l], Locality(l)) {
 			s := stateFor(old, e, Locality(l))
 			next.byLocality[l] = append(next.byLocality[l], s)
 			next.byPeer[e.Peer] = s
 		}
 	}
+	if p.homes {
+		p.addHomes(endpoints, next, old)
+	}
 	p.view.Store(next)
 }
 
@@ -163,6 +168,9 @@
 	ejected, total := 0, 0
 	for _, states := range v.byLocality {
 		for _, s := range states {
+			if s.endpoint.Evacuated {
+				continue
+			}
 			total++
 			if now < s.excludedUntil.Load() && !s.dialsFailed.Load() {
 				ejected++
--- a/service/state.go
+++ b/service/state.go
@@ -39,6 +39,7 @@
 	excludedUntil atomic.Int64 // not used before this time, ns
 	dialsFailed   atomic.Bool  // the exclusion is due to failed dials
 	draining      atomic.Bool  // the endpoint's gate or load report said that its backend server is draining
+	saysEvacuated atomic.Bool  // the load report said that the data centre of the endpoint is evacuated
 	report        atomic.Pointer[Load]
 	reportedAt    atomic.Int64 // time of the last load report, ns
 }
@@ -121,6 +122,9 @@
 
 // skip returns the reason for which no call can use the endpoint now, or SkipNone.
 func (s *state) skip(now int64) Skip {
+	if s.evacuated(now) {
+		return SkipEvacuated
+	}
 	if s.endpoint.Draining || s.draining.Load() {
 		return SkipDraining
 	}
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -43,6 +43,8 @@
 	routeState *routeState
 	parent     *run // request running on the local backend server that made this call, nil when unknown
 	startedAt  time.Time
+
+	organisation *routing.Organisation // owner of the key, nil for a request without one
 }
 
 // serveCaller handles requests on the callers' listener.
@@ -103,6 +105,9 @@
 	if err := e.authenticate(); err != nil {
 		return err
 	}
+	if err := e.checkRegions(); err != nil {
+		return err
+	}
 	e.call.Service = e.match.Service()
 	e.parent = d.runs.parentOf(id)
 	if e.parent != nil {
@@ -173,6 +178,7 @@
 	if !e.d.keysFresh() {
 		return notReady("keys cannot be confirmed here, restore the way to the store")
 	}
+	e.organisation = o
 	e.call.Organisation = o.Name
 	e.call.KeyID = string(digest[:])
 	if o.Rank != routing.NoRank {
@@ -235,6 +241,7 @@
 		body:        e.body,
 		maxAttempts: e.match.MaxAttempts,
 		observe:     e.observe,
+		entry:       e,
 		head: &wire.CallHead{
 			RequestId:     e.call.ID,
 			Tree:          treeToWire(e.call),
@@ -250,6 +257,7 @@
 			Method:        string(h.Method()),
 			Path:          string(h.RequestURI()),
 			Headers:       d.requestFields(h),
+			Regions:       e.call.Regions,
 		},
 	}
 	out.head.Headers = append(out.head.Headers, &wire.Header{Name: d.names.pack([]byte(fasthttp.HeaderHost)), Value: string(h.Host())})
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -212,6 +212,7 @@
 	}
 	c.d.log.Info("configuration in force", "generation", conf.Generation, "before", c.generation, "routes", len(conf.Routes), "organisations", len(conf.Organisations))
 	c.generation, c.document, c.rejection = conf.Generation, document, ""
+	conf.LockOutUndeclared(c.d.settings.declaredRegions())
 	c.logNotices(conf.Notices)
 	c.d.tokens.apply(conf.Organisations)
 	c.d.table.Store(routing.NewTable(conf, c.rng))
@@ -265,10 +266,7 @@
 	c.d.members.Store(&members)
 	c.directoryComplete = c.d.directoryComplete()
 	c.ratesStale = true
-	c.d.services.Range(func(k, v any) bool {
-		v.(*endpoints).picker.SetEndpoints(c.d.endpointEntries(k.(string)))
-		return true
-	})
+	c.d.refreshAllEndpoints()
 }
 
 // updateRateShares computes which share of each organisation's rate this daemon
--- a/sidecar/deployment_test.go
+++ b/sidecar/deployment_test.go
@@ -34,6 +34,8 @@
 
 	dialect     sidecar.Dialect // nil for the platform's
 	memoryBytes int64           // memory limit of the daemons that are added; 0 for none
+
+	adjust func(i int, s *sidecar.Settings) // changes the settings of the daemons that are added; nil for no change
 }
 
 type node struct {
@@ -178,6 +180,9 @@
 	if address != "" {
 		n.settings.Backend = address
 	}
+	if d.adjust != nil {
+		d.adjust(i, &n.settings)
+	}
 	d.start(n)
 	b.Start(a[2], a[0])
 	d.nodes = append(d.nodes, n)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -21,6 +21,9 @@
 	picker *service.Picker
 	notRun *service.WindowBudget // for requests that a backend server shed without running them
 	mayRun *service.RetryBudget  // for requests that may have run
+
+	set   sync.Mutex // serialises refreshEndpoints
+	homes sync.Once  // the first call that is restricted to regions
 }
 
 // Fractions of the retry limit of the whole fleet that daemons use for their retry
@@ -63,8 +66,11 @@
 		notRun: service.NewWindowBudget(r.Ratio*notRunFraction, r.Window, saved),
 		mayRun: service.NewRetryBudget(r.Ratio*mayRunFraction, mayRunSaved),
 	}
-	e.picker.SetEndpoints(d.endpointEntries(name))
-	actual, _ := d.services.LoadOrStore(name, e)
+	d.refreshEndpoints(name, e)
+	actual, loaded := d.services.LoadOrStore(name, e)
+	if !loaded {
+		d.refreshEndpoints(name, e) // a change before it was stored has not reached it
+	}
 	return actual.(*endpoints)
 }
 
@@ -90,6 +96,7 @@
 	maxAttempts int   // maximum number of backend servers that may receive it
 	progress    int32 // number of calls of the same run that have been answered
 	observe     func(*wire.AnswerHead)
+	entry       *entry
 
 	refusedForTime bool // a gate has refused it because its deadline would pass
 }
@@ -111,6 +118,9 @@
 	var failedAnswer *wire.AnswerHead // last 5xx answer of a backend server that was to be retried
 	sent := 0
 	for {
+		if err := out.entry.recheckRegions(out); err != nil {
+			return failedAnswer, overallFailure(failure, err)
+		}
 		ep, why, err := d.pick(eps, out.call, tried)
 		if err != nil {
 			return failedAnswer, overallFailure(failure, request.AsError(err))
@@ -160,7 +170,7 @@
 		return false
 	}
 	switch fail.Reason {
-	case request.ReasonCancelled, request.ReasonBadKey, request.ReasonCutOff:
+	case request.ReasonCancelled, request.ReasonBadKey, request.ReasonCutOff, request.ReasonHomeRegion:
 		return false
 	case request.ReasonDeadline:
 		// The backend server of the gate that refused may be slow and others not.
@@ -188,6 +198,9 @@
 func (d *Daemon) pick(eps *endpoints, c *request.Call, tried []string) (service.Endpoint, service.Decision, error) {
 	rng := rngs.Get().(*rand.Rand)
 	defer rngs.Put(rng)
+	if c.Regions != nil {
+		d.enableHomes(c.Service, eps)
+	}
 	return eps.picker.Pick(d.now(), rng, c, tried)
 }
 
@@ -286,8 +299,8 @@
 
 func resultOf(ctx context.Context, fail *request.Error, transport bool) service.Result {
 	switch {
-	case fail.Reason == request.ReasonCancelled:
-		return service.Abandoned
+	case fail.Reason == request.ReasonCancelled, fail.Reason == request.ReasonHomeRegion, fail.Reason == request.ReasonEvacuated:
+		return service.Abandoned // nothing was learned about the backend server
 	case ctx.Err() == nil && !transport && fail.Outcome == request.NotRun && fail.Reason == request.ReasonDeadline:
 		return service.Refused // its duration says nothing about the response time
 	case fail.Reason == request.ReasonDeadline, ctx.Err() != nil:
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -146,6 +146,9 @@
 // checkRunnable refuses a call that must not run on the local backend server,
 // independent of load.
 func (d *Daemon) checkRunnable(c *request.Call, h *wire.CallHead) *request.Error {
+	if err := d.checkPlace(h); err != nil {
+		return err
+	}
 	b := d.backendSnapshot.Load()
 	switch {
 	case h.Service != d.settings.Service:
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -183,6 +183,7 @@
 		Idempotent:   h.Idempotent,
 		WorkSpent:    h.WorkSpent,
 		BodyBytes:    h.BodyBytes,
+		Regions:      h.Regions,
 		Remaining:    left,
 	}
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -18,6 +18,8 @@
 	Backend    string // address of the local backend server, ip:port
 	FirstStart bool   // the whole deployment starts for the first time
 
+	Regions map[string]string // region of each data centre of the deployment; empty if not declared
+
 	Listen       Listen
 	StoreAddress string // address of the platform's store, ip:port
 	MemoryBytes  int64  // memory limit above which the process is killed; 0 for no limit
--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"wisteriafold/membership"
@@ -178,5 +179,5 @@
 		d.log.Error("reload failed, keeping the settings in force", "file", file, "error", err)
 		return
 	}
-	d.log.Info("reload", "file", file, "restart_needed", settings != d.settings)
+	d.log.Info("reload", "file", file, "restart_needed", !reflect.DeepEqual(settings, d.settings))
 }
