Evacuate data centres by rows of the operator

An operator needs a data centre without requests before work on it. While the row op/evacuate/NAME exists, no request may reach a backend server there.

With evacuateMs in the settings, the read of the configuration becomes one range read that returns the evacuated data centres, too, and the version of the store. Fleet keeps the set, states it in freshness messages, and the set of the higher version holds. A changed set is pushed at once in the region and to three daemons of each other region, which push it on. A daemon without a set is not ready and refuses requests. An answer without a set confirms nothing.

The choice of endpoints skips those of an evacuated data centre, also when it fails open, and for a second those whose gate said so. The gate refuses new calls with reason evacuated and takes the waiting ones out of its queue; running ones finish. Refusals because of the place are no observation of the endpoint. Without evacuateMs the store call and the messages are as before.

With evacuations on, each daemon that cannot read asks another region itself.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,10 @@
 	askedAt   time.Duration
 	lastAsk   time.Duration
 
+	tracksEvacuated  bool     // see TrackEvacuations
+	evacuated        []string // evacuated data centres, in order
+	evacuatedVersion uint64   // version of the store as of which evacuated was read, 0 while it is not known
+
 	storeEmptyAt time.Duration // last time at which the store was known to have no configuration
 	reading      bool
 	readAt       time.Duration
@@ -135,6 +139,7 @@
 	if age >= readAfter+f.spread {
 		f.read(now)
 	}
+	f.repairWithoutStore(now, age)
 	source := f.source(now)
 	if source == f.self.Peer {
 		if now-f.readAt >= RefreshInterval {
@@ -212,25 +217,29 @@
 	f.out.ReadStore()
 }
 
-// HandleStoreRead processes the result of a read that started at sent. version is the
-// version of the row, 0 if there is no row; ok is false if the store gave no
-// answer. An answer with an older version than an earlier answer is ignored.
-func (f *Fleet) HandleStoreRead(sent time.Duration, document []byte, version uint64, ok bool) {
+// HandleStoreRead processes the result of a read that started at sent. ok is false if
+// the store gave no answer. A row or a set with an older version than that of an
+// earlier answer is ignored.
+func (f *Fleet) HandleStoreRead(sent time.Duration, r Reading, ok bool) {
 	f.reading = false
 	if ok {
 		delete(f.stale, f.self.Peer)
 	} else {
 		f.stale[f.self.Peer] = sent + suspectDuration
 	}
-	if ok && version == 0 && f.generation == 0 {
+	if ok && f.takeEvacuated(r.Evacuated, r.StoreVersion) {
+		f.pushEvacuated()
+		f.pushEvacuatedFar()
+	}
+	if ok && r.Version == 0 && f.generation == 0 {
 		f.storeEmptyAt = sent
 	}
-	if !ok || version == 0 || version < f.rowVersion {
+	if !ok || r.Version == 0 || r.Version < f.rowVersion {
 		return
 	}
-	if version > f.rowVersion {
-		f.rowVersion = version
-		if f.adopt(document) {
+	if r.Version > f.rowVersion {
+		f.rowVersion = r.Version
+		if f.adopt(r.Document) {
 			f.push()
 		}
 	}
@@ -248,8 +257,10 @@
 }
 
 // push sends the configuration to the other daemons of this region.
-func (f *Fleet) push() {
-	m := f.freshness(0, never, 0)
+func (f *Fleet) push() { f.sendToRegion(f.freshness(0, never, 0)) }
+
+// sendToRegion sends a message to the other daemons of this region.
+func (f *Fleet) sendToRegion(m *wire.Fleet) {
 	for _, e := range f.dir.Members() {
 		if e.Peer != f.self.Peer && e.Region == f.self.Region {
 			f.out.Send(e.Peer, m)
@@ -266,6 +277,7 @@
 	if f.confirmed != never && now != never {
 		m.AgeUs = (now - f.confirmed).Microseconds()
 	}
+	f.addEvacuated(m)
 	if f.generation > receiverHas {
 		if f.packedFor != f.generation {
 			f.packed, f.packedFor = pack(f.out.Document()), f.generation
@@ -296,21 +308,27 @@
 	if m.Generation > f.generation {
 		f.adoptPacked(now, m.Configuration)
 	}
+	if f.takeEvacuated(m.Evacuated, m.OperatorVersion) && !f.isInRegion(from) {
+		f.pushEvacuated() // the reader of this region may be cut off from the store
+	}
 	if f.askedPeer != from || m.Id != f.askID {
 		return
 	}
 	f.askedPeer = ""
-	if m.Generation == 0 && f.generation == 0 {
+	setMissing := f.tracksEvacuated && m.OperatorVersion == 0
+	if setMissing {
+		f.stale[from] = now + suspectDuration // it may have been started with other settings
+	} else if m.Generation == 0 && f.generation == 0 {
 		f.storeEmptyAt = max(f.storeEmptyAt, f.askedAt) // the source would have pushed a configuration if there were one
 	} else if age := time.Duration(m.AgeUs) * time.Microsecond; m.AgeUs < 0 || age > readAfter || m.Generation < f.generation {
 		f.stale[from] = now + staleDuration
 	} else {
 		delete(f.stale, from)
-		if e := f.dir.Get(from); e != nil && e.Region == f.self.Region {
+		if f.isInRegion(from) {
 			f.sourceSince = never // another daemon reads the store for this region
 		}
 	}
-	if m.AgeUs >= 0 && m.Generation == f.generation && f.generation > 0 {
+	if !setMissing && m.AgeUs >= 0 && m.Generation == f.generation && f.generation > 0 {
 		f.confirmed = max(f.confirmed, f.askedAt-time.Duration(m.AgeUs)*time.Microsecond)
 	}
 	if m.MembersDigest != f.dir.Digest() && now-f.mergedAt >= mergePause {
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -81,6 +81,9 @@
 	if e.table == nil {
 		return notReady("no configuration has been read yet, wait for the store")
 	}
+	if !d.evacuationsKnown() {
+		return notReady("the evacuated data centres are not known yet, wait for the store")
+	}
 	if err := checkFraming(e.http); err != nil {
 		return err
 	}
--- a/sidecar/check.go
+++ b/sidecar/check.go
@@ -38,6 +38,7 @@
 		if k.Freshness.AgeUs > maxConfigurationAge.Microseconds() {
 			return &invalidMessageError{"age_us", k.Freshness.AgeUs}
 		}
+		return checkEvacuatedNames(k.Freshness)
 	case *wire.Fleet_TokenRequest:
 		return checkTokens(k.TokenRequest.Amount, k.TokenRequest.AskedUs)
 	case *wire.Fleet_TokenGrant:
--- a/sidecar/check_test.go
+++ b/sidecar/check_test.go
@@ -1,12 +1,15 @@
 package sidecar
 
 import (
+	"context"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"wisteriafold/fleet"
 	"wisteriafold/quota"
 	"wisteriafold/routing"
 	"wisteriafold/wire"
@@ -60,3 +63,30 @@
 )
 
 func (unusedDialect) HeaderNames() HeaderNames { return HeaderNames{} }
+
+// Failure: a set of evacuated data centres with a version that no later one exceeds
+// stays in force for good.
+func TestSetsOutOfRangeInMessagesAreIgnored(t *testing.T) {
+	freshness := func(version uint64, names ...string) *wire.Fleet {
+		return &wire.Fleet{Kind: &wire.Fleet_Freshness{Freshness: &wire.Freshness{OperatorVersion: version, Evacuated: names}}}
+	}
+	require.NoError(t, checkMessage(freshness(1<<40, "a", "b")))
+	require.Error(t, checkMessage(freshness(math.MaxUint64, "a")))
+	require.Error(t, checkMessage(freshness(1, "")))
+	require.Error(t, checkMessage(freshness(1, strings.Repeat("a", 40<<10))))
+}
+
+// oneCallStore answers the one call that a daemon without evacuations makes today.
+type oneCallStore struct{ Store }
+
+func (oneCallStore) Configuration(context.Context) ([]byte, uint64, error) {
+	return []byte("{}"), 5, nil
+}
+
+// Failure: a deployment without evacuations pays for them in its reads of the store.
+func TestReadOfTheStoreIsUnchangedWithoutEvacuations(t *testing.T) {
+	d := &Daemon{store: oneCallStore{}}
+	r, err := d.readOperatorRows(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, fleet.Reading{Document: []byte("{}"), Version: 5}, r)
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -62,6 +62,9 @@
 	self := c.entry()
 	d.selfEntry.Store(self)
 	c.fleet = fleet.New(self, c)
+	if d.tracksEvacuations() {
+		c.fleet.TrackEvacuations()
+	}
 	return c
 }
 
@@ -130,6 +133,7 @@
 	if at, ok := c.fleet.ConfirmedAt(); ok {
 		c.d.confirmed.Store(int64(at))
 	}
+	c.publishEvacuations()
 	if ready := c.d.isReady(); ready != c.loggedReady {
 		c.loggedReady = ready
 		c.d.log.Info("readiness", "ready", ready, "generation", c.generation, "age_ms", ageMillis(c.d.configurationAge()), "members", len(*c.d.members.Load()))
@@ -171,13 +175,12 @@
 func (c *control) ReadStore() {
 	sent := sinceBoot()
 	go func() {
-		var document []byte
-		var version uint64
+		var reading fleet.Reading
 		err := errPanicked
-		c.d.protect("read of the configuration", func() { document, version, err = c.d.store.Configuration(c.d.background) })
+		c.d.protect("read of the configuration", func() { reading, err = c.d.readOperatorRows(c.d.background) })
 		c.post(func() {
 			c.storeAnswered("read", err)
-			c.fleet.HandleStoreRead(sent, document, version, err == nil)
+			c.fleet.HandleStoreRead(sent, reading, err == nil)
 		})
 	}()
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -86,7 +86,8 @@
 	metrics  *metricSet
 
 	table           atomic.Pointer[routing.Table]
-	confirmed       atomic.Int64 // time since boot at which the configuration was last confirmed as the newest, ns
+	confirmed       atomic.Int64               // time since boot at which the configuration was last confirmed as the newest, ns
+	evacuation      atomic.Pointer[evacuation] // nil while it is not known
 	members         atomic.Pointer[[]*membership.Entry]
 	selfEntry       atomic.Pointer[membership.Entry]
 	backendSnapshot atomic.Pointer[backendState]
@@ -230,6 +231,7 @@
 			Slots:       e.Slots,
 			Connections: e.Slots,
 			Incarnation: uint64(e.Born),
+			Evacuated:   d.isEvacuated(e.DataCentre),
 		})
 	}
 	return eps
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -147,6 +147,7 @@
 // independent of load.
 func (d *Daemon) checkRunnable(c *request.Call, h *wire.CallHead) *request.Error {
 	if err := d.checkPlace(h); err != nil {
+		d.countPlaceRefusal(err)
 		return err
 	}
 	b := d.backendSnapshot.Load()
@@ -282,6 +283,7 @@
 // every answer. below is the highest admission level reported to calls of the request.
 func (d *Daemon) report(h *wire.AnswerHead, below request.Priority) {
 	r := d.gate.Report()
+	r.Evacuated = d.isEvacuatedHere()
 	r.Draining = d.backendSnapshot.Load().state >= membership.Draining
 	r.ToAnswer(h)
 	h.WorstLevel = uint32(max(r.Level, below))
--- a/sidecar/homes.go
+++ b/sidecar/homes.go
@@ -72,8 +72,11 @@
 	return nil
 }
 
-// checkPlace refuses a call that must not run in this region.
+// checkPlace refuses a call that must not run in this region or data centre.
 func (d *Daemon) checkPlace(h *wire.CallHead) *request.Error {
+	if err := d.checkEvacuated(); err != nil {
+		return err
+	}
 	if len(h.Regions) > 0 && !slices.Contains(h.Regions, d.location.Region) {
 		return homeRegionError("the request is restricted to other regions than " + d.location.Region + ", run the same version on all daemons")
 	}
--- a/sidecar/homes_model_test.go
+++ b/sidecar/homes_model_test.go
@@ -46,7 +46,8 @@
 		return regionTable(generation, set.Draw(t, "route"), set.Draw(t, "organisation"))
 	}
 	homes := func(x *routing.Table) ([]string, bool) { return x.Homes(&x.Routes[0], &x.Organisations[0]) }
-	rapid.Check(t, func(t *rapid.T) {
+	sent := 0
+	one := func(t *rapid.T) {
 		entered := gates[0]
 		entered.services.Clear()
 		entered.members.Store(&members)
@@ -96,6 +97,13 @@
 			for range 6 {
 				eps.picker.Observe(entered.now(), ep.Peer, service.Observation{Result: result})
 			}
+			sent++
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		for range 30 {
+			one(t)
 		}
 	})
+	require.Greater(t, sent, 1000, "most requests must get as far as a gate")
 }
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -59,7 +59,7 @@
 // that a peer has pushed is unknown until it is confirmed. Until then requests with a
 // key would be refused, so the daemon is not ready.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.table.Load() != nil && d.confirmed.Load() != notConfirmed && d.directoryComplete()
+	return !d.stopping.Load() && d.table.Load() != nil && d.confirmed.Load() != notConfirmed && d.evacuationsKnown() && d.directoryComplete()
 }
 
 // directoryComplete reports whether the directory can be assumed to contain all
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriafold/fleet"
 	"wisteriafold/membership"
 	"wisteriafold/platform"
 	"wisteriafold/routing"
@@ -26,6 +27,7 @@
 
 	ShutdownGrace time.Duration // from SIGTERM until the process is killed
 	KeyRevocation time.Duration // time within which a withdrawn key must stop working
+	Evacuation    time.Duration // time within which an evacuation must be in force; 0 if the deployment has no evacuations
 	Retries       RetryBounds
 }
 
@@ -84,6 +86,9 @@
 	// It returns nil and 0 while there is no document.
 	Configuration(ctx context.Context) (document []byte, version uint64, err error)
 
+	// OperatorRows returns the operator's document and the evacuated data centres.
+	OperatorRows(ctx context.Context) (fleet.Reading, error)
+
 	// Scan and Commit behave as those of platform.Table.
 	Scan(ctx context.Context, table, after string, limit int) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Tx) (uint64, error)
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -92,6 +92,15 @@
 	return version
 }
 
+// Delete deletes a row as the operator does, reserved tables included. It panics if a
+// fault makes that fail.
+func (h *Handler) Delete(table, key string) {
+	_, err := h.rows.Commit(context.Background(), platform.Tx{Writes: []platform.Write{{Table: table, Key: key, Delete: true}}})
+	if err != nil {
+		panic("rowstore: Delete while faults are in force: " + err.Error())
+	}
+}
+
 // Keys returns the keys of the rows of a table. It panics if the store is down.
 func (h *Handler) Keys(table string) []string {
 	rows, err := h.rows.Scan(context.Background(), table, "", maxRows)
