ingress: callers' listener with read-ahead, in use by sidecar

Cause: fasthttp.Server serves one request of a connection at a time. A second request is not read while the first runs, its caller gives up after a second; a caller that leaves was noticed by polling every 150 ms; a stop counted a request as ended before its answer was written.

Change: package ingress reads requests ahead, runs idempotent ones without a body side by side, admits them in order and answers in order. What is behind an answer that closes is dropped or cancelled. The reader of a connection learns at once that the caller leaves. Heads, time-outs and connections are bounded by the configuration (headerTimeoutMs, idleTimeoutMs are new) and the settings (maxFds is new). A stop waits for the last byte of the answers. Parsing and formatting stay with fasthttp.

TestIdempotentRequestsOfAConnectionRunTogether: failed on the code before (condition never satisfied), passes now.

--- /dev/null
+++ b/ingress/account.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"time"
+)
+
+const (
+	// stallBeforeCut is the time without any byte taken after which a caller may be cut
+	// for memory.
+	stallBeforeCut = time.Second
+
+	// refuseFraction is the part of the limit above which new requests are refused. The
+	// rest is room for the answers of requests in progress.
+	refuseFraction = 0.75
+)
+
+// Full reports whether so many bytes are held for callers that new requests must be
+// refused.
+func (s *Server) Full() bool {
+	return float64(s.held.Load()) >= refuseFraction*float64(s.opt.Limits().HeldBytes)
+}
+
+// holder is a connection for which bytes are held.
+type holder struct {
+	bytes   int64
+	stalled time.Duration // since the caller took a byte, 0 when nothing is being sent
+}
+
+// choice is the result of chooseVictim.
+type choice uint8
+
+const (
+	nobody  choice = iota
+	stalled        // the reader without progress longest
+	largest        // the largest holder
+)
+
+// chooseVictim returns the index of the connection that is cut when the holders have
+// more than limit bytes together.
+func chooseVictim(holders []holder, limit int64) (i int, why choice) {
+	total, slow, big := int64(0), -1, -1
+	for i, h := range holders {
+		total += h.bytes
+		if h.bytes <= 0 {
+			continue
+		}
+		if h.stalled >= stallBeforeCut && (slow < 0 || h.stalled > holders[slow].stalled) {
+			slow = i
+		}
+		if big < 0 || h.bytes > holders[big].bytes {
+			big = i
+		}
+	}
+	switch {
+	case total <= limit:
+		return -1, nobody
+	case slow >= 0:
+		return slow, stalled
+	case big >= 0 && holders[big].bytes > limit/int64(len(holders)):
+		return big, largest
+	}
+	return -1, nobody
+}
+
+// relieve cuts callers while more bytes are held than the limit allows.
+func (s *Server) relieve() {
+	limit := s.opt.Limits().HeldBytes
+	if s.held.Load() <= limit {
+		return
+	}
+	s.relieving.Lock()
+	defer s.relieving.Unlock()
+	now := s.now()
+	var conns []*conn
+	var holders []holder
+	for _, c := range s.snapshot() {
+		h := holder{bytes: c.held.Load()}
+		if h.bytes <= 0 {
+			continue
+		}
+		if since := c.writeSince.Load(); since != 0 {
+			c.observeProgress(now)
+			h.stalled = time.Duration(now - max(since, c.progressAt.Load()))
+		} else if since := c.headSince.Load(); since != 0 {
+			h.stalled = time.Duration(now - since)
+		}
+		conns, holders = append(conns, c), append(holders, h)
+	}
+	for {
+		i, why := chooseVictim(holders, limit)
+		if why == nobody {
+			return
+		}
+		reason := "memory is short, takes no bytes"
+		if why == largest {
+			reason = "memory is short, holds most"
+		}
+		s.cutReader(conns[i], reason, int64(holders[i].stalled))
+		holders[i].bytes = 0
+	}
+}
+
+func (s *Server) cutReader(c *conn, why string, stalled int64) {
+	s.stats.readersCut.Add(1)
+	if s.loggedC.due(s.now()) {
+		s.opt.Log("cut a caller", "why", why, "caller", c.nc.RemoteAddr().String(), "held", c.held.Load(), "stalled_ms", time.Duration(stalled).Milliseconds(), "cut", s.stats.readersCut.Load())
+	}
+	c.cut()
+}
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -18,6 +18,8 @@
 	Authenticates  bool // requests on routes that are not open must carry a key
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration // time for the head of a request, 0 if not given
+	IdleTimeout    time.Duration // time for which callers use idle connections again, 0 if not given
 
 	// Notices are the values of the document that this version does not know. The
 	// document is valid nevertheless.
--- a/sidecar/bodies.go
+++ b/sidecar/bodies.go
@@ -27,7 +27,7 @@
 
 // readBody reads the whole request body.
 func (e *entry) readBody() *request.Error {
-	size := int64(e.http.Request.Header.ContentLength())
+	size := int64(e.http.Header.ContentLength())
 	limit := e.table.MaxBodyBytes
 	if limit <= 0 {
 		limit = e.d.settings.heldBodyLimit()
@@ -39,10 +39,8 @@
 	if size > 0 && e.held.reserve(size) != nil {
 		return e.tooManyBodies()
 	}
-	stream := e.http.RequestBodyStream()
+	stream := e.http.Body
 	if stream == nil {
-		e.body = e.http.Request.Body()
-		e.call.BodyBytes = int64(len(e.body))
 		return nil
 	}
 	b, err := io.ReadAll(&heldReader{held: &e.held, src: io.LimitReader(stream, limit+1)})
@@ -75,6 +73,13 @@
 	return err
 }
 
+// answersHeldError is the refusal of a request for whose answer there may be no room.
+func answersHeldError() *request.Error {
+	err := request.NewNotRunError(request.ReasonBusy, "this daemon holds too many answers for callers, try again later")
+	err.RetryAfter = shedRetryAfter
+	return err
+}
+
 // heldBytes counts the bytes of one request body towards the limit of the daemon.
 type heldBytes struct {
 	d       *Daemon
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wisteriafold/ingress"
 	"wisteriafold/request"
 	"wisteriafold/routing"
 	"wisteriafold/wire"
@@ -22,17 +23,13 @@
 	// cutOffRetryAfter is the Retry-After for requests refused for want of a
 	// recent configuration: by then another daemon may have sent it.
 	cutOffRetryAfter = 500 * time.Millisecond
-
-	// prefetchBytes is the size of the part of a request body that is read before
-	// the handler runs.
-	prefetchBytes = 64 << 10
 )
 
 // entry is a request that a caller or the local backend server sent to this
 // daemon.
 type entry struct {
 	d          *Daemon
-	http       *fasthttp.RequestCtx
+	http       *ingress.Request
 	table      *routing.Table
 	match      routing.Match
 	call       *request.Call
@@ -46,12 +43,12 @@
 }
 
 // serveCaller handles requests on the callers' listener.
-func (d *Daemon) serveCaller(hc *fasthttp.RequestCtx) {
+func (d *Daemon) serveCaller(hc *ingress.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	e := &entry{d: d, http: hc, table: d.table.Load(), startedAt: d.now()}
+	e := &entry{d: d, http: hc, table: d.table.Load(), startedAt: hc.ReadAt}
 	if d.stopping.Load() {
-		hc.SetConnectionClose()
+		hc.SetConnectionCloseIfLast()
 	}
 	e.held.d = d
 	defer e.held.release()
@@ -60,6 +57,7 @@
 		e.refuse(err)
 		return
 	}
+	hc.Admitted()
 	if err := e.readBody(); err != nil {
 		e.refuse(err)
 		return
@@ -75,13 +73,16 @@
 // whether the request is admitted. When it returns an error, the request has not
 // run.
 func (e *entry) admit() *request.Error {
-	d, h := e.d, &e.http.Request.Header
+	d, h := e.d, &e.http.Header
 	if e.table == nil {
 		return notReady("no configuration has been read yet, wait for the store")
 	}
 	if err := checkFraming(e.http); err != nil {
 		return err
 	}
+	if d.callers.Full() {
+		return answersHeldError()
+	}
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	var found bool
 	e.match, found = e.table.Match(string(h.Host()), string(path))
@@ -148,7 +149,7 @@
 // deadline and the route's timeout.
 func (e *entry) deadline() time.Time {
 	wait := e.match.Timeout
-	ms, err := strconv.ParseInt(string(e.http.Request.Header.Peek(e.d.names.Deadline)), 10, 64)
+	ms, err := strconv.ParseInt(string(e.http.Header.Peek(e.d.names.Deadline)), 10, 64)
 	if err == nil && ms >= 0 {
 		wait = min(wait, time.Duration(ms)*time.Millisecond)
 	}
@@ -161,7 +162,7 @@
 	if e.match.Open || !e.table.Authenticates {
 		return nil
 	}
-	key := e.http.Request.Header.Peek(e.d.names.Key)
+	key := e.http.Header.Peek(e.d.names.Key)
 	if len(key) == 0 {
 		return request.NewNotRunError(request.ReasonNoKey, "the route needs a key, send one")
 	}
@@ -187,7 +188,7 @@
 		return nil
 	}
 	var after time.Duration
-	e.token, after = e.d.tokens.take(e.http, e.call.Organisation)
+	e.token, after = e.d.tokens.take(e.http.Context(), e.call.Organisation)
 	if !e.token.taken {
 		err := request.NewNotRunError(request.ReasonRate, "the organisation's rate is used up, send less or raise it")
 		err.RetryAfter = after
@@ -198,9 +199,9 @@
 
 // checkFraming refuses a request with both a Content-Length and a chunked body:
 // another server could read it as two requests (request smuggling).
-func checkFraming(hc *fasthttp.RequestCtx) *request.Error {
+func checkFraming(hc *ingress.Request) *request.Error {
 	const chunked = -1 // result of ContentLength for a chunked body
-	h := &hc.Request.Header
+	h := &hc.Header
 	if h.ContentLength() == chunked && hasField(h.RawHeaders(), fasthttp.HeaderContentLength) {
 		hc.SetConnectionClose()
 		return request.NewNotRunError(request.ReasonBadRequest, "send a length or chunks, not both")
@@ -221,10 +222,9 @@
 // serve forwards the request to an endpoint and answers the caller.
 func (e *entry) serve() {
 	d := e.d
-	ctx, cancel := context.WithDeadline(d.traffic, e.answerBy)
+	ctx, cancel := context.WithDeadline(e.http.Context(), e.answerBy)
 	defer cancel()
-	defer d.watch.Add(e.http.Conn(), cancel)()
-	h := &e.http.Request.Header
+	h := &e.http.Header
 	progress := int32(0)
 	if e.parent != nil {
 		progress = e.parent.answered.Load()
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
-	"wisteriafold/caller"
+	"wisteriafold/ingress"
 	"wisteriafold/link"
 	"wisteriafold/membership"
 	"wisteriafold/request"
@@ -35,20 +35,9 @@
 	// round trip between regions and shorter than callers wait.
 	peerDialTimeout = 400 * time.Millisecond
 
-	// callerIdleTimeout is how long an idle connection of a caller is kept open.
-	// It is longer than the idle time that configurations promise to callers.
-	callerIdleTimeout = 90 * time.Second
-
-	// callerReadTimeout limits the time for reading a whole request from a caller.
-	callerReadTimeout = 30 * time.Second
-
-	// callerWriteTimeout limits the time for writing a response to a caller.
-	callerWriteTimeout = 15 * time.Second
-
-	// watchInterval is the interval at which the connections of callers are
-	// checked. Work for a caller that has disconnected must stop within half a
-	// second.
-	watchInterval = 150 * time.Millisecond
+	// localIdleTimeout is how long an idle connection to a local listener, such as the
+	// one for readiness, is kept open.
+	localIdleTimeout = 90 * time.Second
 
 	// initialSlots is the concurrency limit until a heartbeat reports the number
 	// of slots.
@@ -93,7 +82,7 @@
 	gate            *backend.Gate
 	client          *backend.Client
 	links           *link.Links
-	watch           *caller.Watcher
+	callers         *ingress.Server
 	runs            runs
 	services        sync.Map // service -> *endpoints
 	routes          sync.Map // route -> *routeState
@@ -130,7 +119,6 @@
 		epoch:    time.Now(),
 		lines:    newLineWriter(opt.Log),
 		metrics:  newMetricSet(),
-		watch:    caller.NewWatcher(watchInterval),
 		runs:     runs{byID: make(map[string]*run)},
 		failed:   make(chan error, 8),
 	}
@@ -151,6 +139,7 @@
 	})
 	d.tokens = newTokens(d.sendFleet)
 	d.control = newControl(d)
+	d.callers = d.newCallerServer()
 	cfg := link.Defaults()
 	cfg.DialTimeout = peerDialTimeout
 	cfg.Hello = &wire.Hello{
@@ -255,7 +244,6 @@
 		d.listeners = append(d.listeners, l)
 		x.serve(l)
 	}
-	d.spawn(func() { d.watch.Run(d.background) })
 	d.spawn(func() { d.control.run(d.background) })
 	d.log.Info("start", "service", d.settings.Service, "data_centre", d.settings.DataCentre, "peer", d.location.Peer, "store", d.settings.StoreAddress)
 	return nil
@@ -283,7 +271,7 @@
 // serveHTTP serves HTTP on a listener other than the callers' one, such as
 // readiness or metrics.
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) {
-	s := &fasthttp.Server{Handler: d.protectHTTP("local HTTP request", h), NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: callerIdleTimeout, Logger: quietLogger{}}
+	s := &fasthttp.Server{Handler: d.protectHTTP("local HTTP request", h), NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: localIdleTimeout, Logger: quietLogger{}}
 	d.servers = append(d.servers, s)
 	d.spawn(func() { d.reportServeError(s.Serve(l)) })
 }
@@ -295,30 +283,6 @@
 // Printf implements fasthttp.Logger.
 func (quietLogger) Printf(string, ...any) {}
 
-// maxHeaderBytes limits the size of the request line and header fields of a
-// caller's request. It is above the limits that configurations set.
-const maxHeaderBytes = 20 << 10
-
-func (d *Daemon) serveCallers(l net.Listener) {
-	s := &fasthttp.Server{
-		Handler:                      d.serveCaller,
-		ReadBufferSize:               maxHeaderBytes,
-		ReadTimeout:                  callerReadTimeout,
-		WriteTimeout:                 callerWriteTimeout,
-		IdleTimeout:                  callerIdleTimeout,
-		StreamRequestBody:            true,
-		MaxRequestBodySize:           prefetchBytes,
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		NoDefaultContentType:         true,
-		DisablePreParseMultipartForm: true,
-		ReduceMemoryUsage:            true,
-		Logger:                       quietLogger{},
-	}
-	d.servers = append(d.servers, s)
-	d.spawn(func() { d.reportServeError(s.Serve(l)) })
-}
-
 // ReadyEndpoints returns the number of backend servers in the directory that are
 // ready to take requests.
 func (d *Daemon) ReadyEndpoints() int {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -128,6 +128,7 @@
 	} {
 		fmt.Fprintf(&b, "%s %v\n", x.name, x.value)
 	}
+	d.writeCallerMetrics(&b)
 	hc.SetContentType("text/plain; version=0.0.4")
 	hc.SetBody(b.Bytes())
 }
--- a/sidecar/panic.go
+++ b/sidecar/panic.go
@@ -56,11 +56,11 @@
 	e.d.logPanic(r, "request of a caller", "request", id)
 	e.d.metrics.request(request.Unknown.String(), string(request.ReasonBroken), e.d.now().Sub(e.startedAt))
 	// Only the response is used here: the state of the entry may be what panicked.
-	e.http.Response.Reset()
+	e.http.ResetResponse()
 	e.http.SetConnectionClose()
-	e.http.SetStatusCode(fasthttp.StatusBadGateway)
+	e.http.Response.SetStatusCode(fasthttp.StatusBadGateway)
 	if id != "" {
 		e.http.Response.Header.Set(e.d.names.AttemptID, id)
 	}
-	e.http.SetBodyString("this daemon failed, look up its log\n")
+	e.http.Response.SetBodyString("this daemon failed, look up its log\n")
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -22,6 +22,8 @@
 	StoreAddress string // address of the platform's store, ip:port
 	MemoryBytes  int64  // memory limit above which the process is killed; 0 for no limit
 
+	MaxDescriptors int // limit of open descriptors of the process; 0 for no limit
+
 	ShutdownGrace time.Duration // from SIGTERM until the process is killed
 	KeyRevocation time.Duration // time within which a withdrawn key must stop working
 	Retries       RetryBounds
--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -72,7 +72,7 @@
 	times := newStopTimes(d.now(), d.settings.ShutdownGrace)
 	d.stopTimes.Store(times)
 	d.stopping.Store(true)
-	d.log.Info("stop", "in_flight", d.inFlight.Load(), "grace_ms", d.settings.ShutdownGrace.Milliseconds())
+	d.log.Info("stop", "in_flight", d.unfinished(), "grace_ms", d.settings.ShutdownGrace.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), times.abortAt)
 	defer cancel()
 	d.control.post(d.control.announce)
@@ -83,7 +83,7 @@
 		d.stopTimes.Store(&early)
 		d.awaitIdle(ctx, &early) // requests that were taken in the meantime
 	}
-	d.log.Info("stopped", "cut", d.inFlight.Load(), "took_ms", d.now().Sub(times.start).Milliseconds())
+	d.log.Info("stopped", "cut", d.unfinished(), "took_ms", d.now().Sub(times.start).Milliseconds())
 	d.Close()
 }
 
@@ -136,7 +136,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(idlePollInterval)
 		now := d.now()
-		if d.inFlight.Load() > 0 {
+		if d.unfinished() > 0 {
 			lastBusy = now
 		}
 		backendGone := d.backendSnapshot.Load().state == membership.Gone && now.Sub(times.start) > quietPeriod
@@ -166,6 +166,7 @@
 	case <-ended:
 	case <-time.After(closeTimeout): // a request that does not end must not keep the process running
 	}
+	d.callers.Close()
 	d.lines.close()
 }
 
