--- a/sidecar/homes.go
+++ b/sidecar/homes.go
@@ -51,7 +51,7 @@
 	if t == e.table {
 		return nil
 	}
-	h := &e.http.Request.Header
+	h := &e.http.Header
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	match, found := t.Match(string(h.Host()), string(path))
 	if !found {
--- a/sidecar/homes_model_test.go
+++ b/sidecar/homes_model_test.go
@@ -6,9 +6,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
 
+	"wisteriafold/ingress"
 	"wisteriafold/membership"
 	"wisteriafold/request"
 	"wisteriafold/routing"
@@ -56,9 +56,9 @@
 			tables = append(tables, draw(t, g))
 		}
 		at := 0
-		e := &entry{d: entered, http: &fasthttp.RequestCtx{}, table: tables[at], organisation: &tables[at].Organisations[0]}
-		e.http.Request.Header.SetHost("h")
-		e.http.Request.SetRequestURI("/v/1")
+		e := &entry{d: entered, http: &ingress.Request{}, table: tables[at], organisation: &tables[at].Organisations[0]}
+		e.http.Header.SetHost("h")
+		e.http.Header.SetRequestURI("/v/1")
 		e.match, _ = e.table.Match("h", "/v/1")
 		e.call = &request.Call{Service: "s", Route: "view", Organisation: "o", KeyID: string(digest[:]), Idempotent: true}
 		if err := e.checkRegions(); err != nil {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -129,6 +129,7 @@
 		fmt.Fprintf(&b, "%s %v\n", x.name, x.value)
 	}
 	d.writeEvacuationMetrics(&b)
+	d.writeCallerMetrics(&b)
 	hc.SetContentType("text/plain; version=0.0.4")
 	hc.SetBody(b.Bytes())
 }
