backend, sidecar: bound the rate of calls to a cold backend server

A backend server that has just started crashes when it gets more than a few calls a second. Its gate now sends it at most the rate that the configuration gives for the service (coldPerS) in any sliding second, kept with the times of the last starts. Heartbeats, health responses and answers tell the coldness; a refused connection, several lost ones and an answer of another backend server are signs of a restart, after which it is cold until it says otherwise. A daemon that starts has an empty allowance for a second and takes its backend server for cold. Calls beyond the rate wait up to 500 ms or are refused as not run, reason cold. Without coldPerS nothing changes.

Choosers send a cold endpoint their share of the rate, with a random phase, and pause after a refusal; cold endpoints are used beyond the share only when no other is usable.

--- a/backend/client.go
+++ b/backend/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,10 @@
 	// MaxHeldBytes is the maximum number of bytes that all exchanges of DoRaw in
 	// progress have read together. 0 sets four times MaxAnswerBytes.
 	MaxHeldBytes int64
+
+	// OnEnded, if set, is called for an idle connection that its peer has closed or
+	// reset, with the time for which it was idle. It must not block.
+	OnEnded func(idle time.Duration)
 }
 
 // defaultMaxAnswerBytes is the default of ClientConfig.MaxAnswerBytes.
@@ -288,14 +293,37 @@
 		if cc.keepAliveFor > 0 {
 			limit = min(limit, cc.keepAliveFor)
 		}
-		fresh := time.Since(cc.idleSince) < limit
-		if fresh && cc.br.Buffered() == 0 && peek(cc.Conn) == connQuiet {
-			return cc
+		idle := time.Since(cc.idleSince)
+		if idle < limit && cc.br.Buffered() == 0 {
+			switch peek(cc.Conn) {
+			case connQuiet:
+				return cc
+			case connEnded:
+				c.ended(idle)
+			}
 		}
 		c.discard(cc)
 	}
 }
 
+// ended reports an idle connection that its peer has ended.
+func (c *Client) ended(idle time.Duration) {
+	if c.cfg.OnEnded != nil {
+		c.cfg.OnEnded(idle)
+	}
+}
+
+// IsConnectionLost reports whether err means that the peer closed or reset the
+// connection.
+func IsConnectionLost(err error) bool {
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, lost) {
+			return true
+		}
+	}
+	return false
+}
+
 // release returns a connection to the idle list, or closes it when the client is
 // closed or the list is full, and frees the slot. acquire opens a connection only
 // when no idle one can be reused, which keeps connections in use and idle ones
--- a/backend/core.go
+++ b/backend/core.go
@@ -21,6 +21,7 @@
 	queue      queue
 	overload   overload
 	level      level
+	cold       cold
 	running    int
 	draining   bool
 	hint       Hint
@@ -41,6 +42,7 @@
 	Evicted      uint64 // refused by Evict
 	Cancelled    uint64 // ended by Cancel because their caller went away
 	BackendShed  uint64 // started, but shed by the backend server
+	Cold         uint64 // refused because the backend server is cold
 }
 
 // Hint is what the backend server reports about itself. It may be late or wrong.
@@ -88,7 +90,11 @@
 		c.refuse(t, errDeadline)
 		return c.events
 	}
-	if c.queue.len == 0 && c.running < c.Limit() {
+	if c.waitsInVain(now, t) {
+		c.refuseCold(t)
+		return c.events
+	}
+	if c.queue.len == 0 && c.running < c.Limit() && c.cold.allows(now) {
 		c.queue.charge(t)
 		c.start(now, t)
 		return c.events
@@ -102,6 +108,7 @@
 func (c *Core) enqueue(now time.Time, t *Ticket) {
 	c.queue.push(t)
 	c.dispatch(now)
+	c.trimCold()
 	if c.queue.len > c.cfg.MaxQueue {
 		worst := c.queue.worst()
 		c.queue.remove(worst)
@@ -251,6 +258,10 @@
 // now, and refuses expired calls.
 func (c *Core) begin(now time.Time) {
 	c.events = c.events[:0]
+	c.cold.advance(now)
+	if c.cold.isCold {
+		c.level.holdUntil = now.Add(c.cfg.Window) // the rate bounds the calls, not what the backend server can do
+	}
 	c.level.load(now, c.running, c.Limit(), c.queue.len)
 	c.overload.advance(now, c.queue.len)
 	c.queue.setStandingOverload(c.overload.standing)
@@ -285,6 +296,10 @@
 		c.refuse(t, errDeadline)
 		return
 	}
+	if c.cold.isCold {
+		c.refuseCold(t)
+		return
+	}
 	c.counts.QueueTimeout++
 	c.level.shed++
 	c.refuse(t, errQueueTimeout)
@@ -293,6 +308,9 @@
 // maxWaitOf returns the maximum wait of t. Under standing overload a new tree waits
 // at most Interval plus about the service time.
 func (c *Core) maxWaitOf(t *Ticket) time.Duration {
+	if c.cold.isCold {
+		return min(c.cfg.MaxWait, coldMaxWait)
+	}
 	if c.overload.standing && isNewTrees(t.band) {
 		return c.cfg.Interval + c.overload.target(c.limiter.ServiceTime())
 	}
@@ -313,9 +331,10 @@
 	return remaining < c.routeTimes.serviceTime(t.Call.Route)
 }
 
-// dispatch starts waiting calls while fewer calls run than the limit allows.
+// dispatch starts waiting calls while fewer calls run than the limit allows, and the
+// rate of a cold backend server permits it.
 func (c *Core) dispatch(now time.Time) {
-	for c.running < c.Limit() {
+	for c.running < c.Limit() && c.cold.allows(now) {
 		t := c.queue.pop()
 		if t == nil {
 			return
@@ -332,6 +351,7 @@
 func (c *Core) start(now time.Time, t *Ticket) {
 	t.state, t.started, t.flow = running, now, nil
 	c.running++
+	c.cold.record(now)
 	c.counts.Started++
 	c.level.started++
 	c.events = append(c.events, Event{Ticket: t})
--- a/backend/gate.go
+++ b/backend/gate.go
@@ -29,6 +29,10 @@
 	service    atomic.Int64
 	level      atomic.Uint32
 	draining   atomic.Bool
+	coldUntil  atomic.Int64 // end of the coldness, ns after epoch; 0 when not cold, coldWithoutEnd until told otherwise
+	coldOn     atomic.Bool
+	coldStart  atomic.Int64 // usual length of the cold phase, ns
+	epoch      time.Time
 }
 
 // Report is the state of a gate and its backend server.
@@ -47,7 +51,7 @@
 // must not go backwards.
 func NewGate(cfg Config, now func() time.Time) *Gate {
 	cfg = cfg.withDefaults()
-	g := &Gate{now: now, cfg: cfg, core: NewCore(cfg), idle: make(chan struct{})}
+	g := &Gate{now: now, cfg: cfg, core: NewCore(cfg), idle: make(chan struct{}), epoch: now()}
 	g.tickets.New = func() any {
 		return &Ticket{ready: make(chan *request.Error, 1)}
 	}
@@ -114,6 +118,7 @@
 		ServiceTime: time.Duration(g.service.Load()),
 		Level:       request.Priority(g.level.Load()),
 		Draining:    g.draining.Load(),
+		Cold:        g.coldRemaining(),
 	}
 }
 
@@ -222,6 +227,7 @@
 	g.service.Store(int64(c.ServiceTime()))
 	g.level.Store(uint32(c.Level()))
 	g.draining.Store(c.IsDraining())
+	g.publishCold()
 	if !g.isIdle && c.IsDraining() && c.Running() == 0 && c.Waiting() == 0 {
 		g.isIdle = true
 		close(g.idle)
--- a/membership/local.go
+++ b/membership/local.go
@@ -1,5 +1,7 @@
 package membership
 
+import "time"
+
 // Heartbeat is one heartbeat or deregistration call of the local backend server.
 type Heartbeat struct {
 	ID       string
@@ -8,6 +10,9 @@
 	State    State
 	Service  string // empty on a deregistration
 	Slots    int    // maximum number of concurrent calls; 0 if not given
+
+	Cold        time.Duration // how much longer it tolerates only few calls a second
+	ColdUnknown bool          // Cold was given and is no plausible time
 }
 
 // Local tracks the daemon's local backend server from the heartbeats that it
@@ -21,7 +26,8 @@
 	sequence      uint64
 	state         State
 	slots         int
-	heartbeatSeen bool // the state comes from a heartbeat or deregistration, not just from a probe or a stored entry
+	accepted      uint64 // number of heartbeats and deregistrations accepted
+	heartbeatSeen bool   // the state comes from a heartbeat or deregistration, not just from a probe or a stored entry
 }
 
 // NewLocal returns a Local that has received no heartbeat. service is the name of
@@ -40,6 +46,10 @@
 // Slots returns the maximum number of concurrent calls, or 0 if unknown.
 func (l *Local) Slots() int { return l.slots }
 
+// Accepted returns the number of heartbeats and deregistrations that were neither out
+// of date nor from another service.
+func (l *Local) Accepted() uint64 { return l.accepted }
+
 // HandleHeartbeat processes a heartbeat or deregistration. changed reports whether the
 // state, id, start time or slots changed; restarted reports whether another
 // incarnation replaced a known one.
@@ -65,6 +75,7 @@
 		}
 	}
 	before := *l
+	l.accepted++
 	l.apply(h, otherIncarnation)
 	return before.state != l.state || before.id != l.id || before.startMs != l.startMs || before.slots != l.slots, otherIncarnation && before.id != ""
 }
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -48,6 +48,7 @@
 	ReasonDeadline      Reason = "deadline"        // the deadline would pass before the call ends
 	ReasonDraining      Reason = "draining"        // the backend server is draining
 	ReasonBackendShed   Reason = "backend-shed"    // the backend server stated that it did not run the call
+	ReasonCold          Reason = "cold"            // the backend server has just started and tolerates only few calls a second
 	ReasonNoEndpoint    Reason = "no-endpoint"     // no endpoint of the service is known or reachable
 	ReasonUnreachable   Reason = "unreachable"     // no connection to the endpoint's daemon could be made
 	ReasonCancelled     Reason = "cancelled"       // the caller cancelled or disconnected
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -57,6 +57,9 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // maximum that one backend server accepts from all callers together
+
+	ColdStart time.Duration // how long a backend server is slow after its start; 0 when not given
+	ColdRate  float64       // calls a second that a backend server tolerates meanwhile; 0 for no bound
 }
 
 // Organisation owns API keys and has a rate limit across all daemons.
--- a/service/decision.go
+++ b/service/decision.go
@@ -39,11 +39,12 @@
 	SkipNoHeadroom       // it has no spare capacity for calls from other regions
 	SkipLargeBody        // the body is too large to leave the region
 	SkipLinkBudget       // the byte budget of the link to its region is used up
+	SkipCold             // it is cold and has got this daemon's share, or its gate refused a moment ago
 )
 
 var skipNames = [...]string{
 	"none", "tried", "draining", "ejected", "unreachable", "higher-cost",
-	"no-headroom", "large-body", "link-budget",
+	"no-headroom", "large-body", "link-budget", "cold",
 }
 
 // String returns the name used in logs.
--- a/service/endpoint.go
+++ b/service/endpoint.go
@@ -1,5 +1,7 @@
 package service
 
+import "time"
+
 // Endpoint is one backend server of a service, reached through its local daemon.
 type Endpoint struct {
 	Peer        string // peer address of its daemon, ip:port; identifies the endpoint
@@ -10,4 +12,9 @@
 	Connections uint32 // maximum number of connections that the backend server accepts
 	Incarnation uint64 // set when its daemon starts; distinguishes successive daemons at one address
 	Draining    bool   // accepts no new calls
+
+	// ColdShare is the rate in calls a second that this daemon may send to the
+	// endpoint while it is cold; 0 if cold endpoints are treated as others.
+	ColdShare float64
+	ColdUntil time.Time // end of the coldness that its daemon announced; zero if none
 }
--- a/service/observation.go
+++ b/service/observation.go
@@ -19,6 +19,7 @@
 	RefusedDraining                // the gate rejected it: its backend server is draining
 	ConnectionLost                 // the connection was lost, but a new dial succeeded
 	Unreachable                    // the daemon could not be dialled
+	RefusedCold                    // the gate rejected it: its backend server is cold and has got its rate
 	Abandoned                      // the caller cancelled; not counted for or against the endpoint
 )
 
@@ -28,6 +29,7 @@
 	Duration time.Duration // from sending the attempt to the end of its answer
 	Bytes    int64         // size of the answer's body in bytes; 0 if there was none
 	Report   *Load         // load report carried by the answer; nil if there was none
+	Draw     float64       // random, in [0, 1); spreads the pause after RefusedCold
 }
 
 // Load is an endpoint's report of its own load.
--- a/service/observe.go
+++ b/service/observe.go
@@ -23,6 +23,9 @@
 		s.updateAverages(now, 1, 0, c)
 	case RefusedDraining:
 		s.draining.Store(true)
+	case RefusedCold:
+		s.failedDials = 0
+		s.cold.refused(now, o.Draw)
 	case Unreachable:
 		s.failDial(now, c)
 	case ConnectionLost, Abandoned:
@@ -37,6 +40,7 @@
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
+	s.cold.reported(now, int64(r.Cold))
 }
 
 // succeed resets the counts of consecutive failures, failed dials and ejections.
--- a/service/pick.go
+++ b/service/pick.go
@@ -29,6 +29,9 @@
 	tried    []string
 	decision Decision
 	usable   [maxSubset]*state
+
+	beyondShare bool // cold endpoints are used beyond this daemon's share
+	coldPassed  bool // an endpoint was skipped because it is cold
 }
 
 // Pick chooses the endpoint for one attempt of call. tried lists the peers that
@@ -39,12 +42,21 @@
 	w := pick{picker: p, now: p.since(now), rng: rng, call: call, tried: tried}
 	v := p.view.Load()
 	best := w.choose(v)
+	if best.state == nil && w.coldPassed {
+		// The gates of the cold endpoints know how many calls they have got.
+		w.beyondShare = true
+		best = w.choose(v)
+	}
 	if best.state == nil {
 		best = w.failOpen(v)
 	}
 	if best.state == nil {
+		if w.coldPassed {
+			return Endpoint{}, w.decision, errOnlyCold
+		}
 		return Endpoint{}, w.decision, errNoEndpoint
 	}
+	best.state.cold.take(w.now)
 	w.decision.Peer = best.state.endpoint.Peer
 	w.decision.Locality = best.state.locality
 	w.decision.Cost = time.Duration(best.cost)
@@ -155,6 +167,10 @@
 	if why := s.skip(w.now); why != SkipNone {
 		return why
 	}
+	if s.cold.skips(w.now, w.rng, w.beyondShare) {
+		w.coldPassed = true
+		return SkipCold
+	}
 	if s.locality != OtherRegion {
 		return SkipNone
 	}
--- a/service/picker.go
+++ b/service/picker.go
@@ -58,6 +58,7 @@
 	for l := range byLocality {
 		for _, e := range subset(byLocality[l], p.self.Peer, p.seed, p.config.Subset[l]) {
 			s := stateFor(old, e, Locality(l))
+			s.cold.announce(e.ColdShare, p.since(e.ColdUntil))
 			next.byLocality[l] = append(next.byLocality[l], s)
 			next.byPeer[e.Peer] = s
 		}
@@ -70,6 +71,7 @@
 // empty one otherwise.
 func stateFor(old *view, e Endpoint, l Locality) *state {
 	s := old.byPeer[e.Peer]
+	e.ColdShare, e.ColdUntil = 0, time.Time{} // they are kept in the state, and do not make another endpoint
 	if s != nil && s.endpoint == e {
 		return s
 	}
@@ -95,6 +97,7 @@
 	s.dialsFailed.Store(from.dialsFailed.Load())
 	s.report.Store(from.report.Load())
 	s.reportedAt.Store(from.reportedAt.Load())
+	s.cold.copyFrom(&from.cold)
 }
 
 // Peers returns the peer addresses of the subset, nearest first. The daemon
--- a/service/state.go
+++ b/service/state.go
@@ -40,6 +40,7 @@
 	dialsFailed   atomic.Bool  // the exclusion is due to failed dials
 	draining      atomic.Bool  // the endpoint's gate or load report said that its backend server is draining
 	report        atomic.Pointer[Load]
+	cold          coldShare
 	reportedAt    atomic.Int64 // time of the last load report, ns
 }
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -39,6 +39,7 @@
 	local   *membership.Local
 	row     rowWriter
 	probing bool
+	cold    coldControl
 
 	document          []byte // the configuration in force, as written
 	generation        uint64
@@ -127,6 +128,7 @@
 // publish stores the confirmation time of the configuration for request goroutines
 // and logs changes of readiness.
 func (c *control) publish() {
+	c.publishColdness()
 	if at, ok := c.fleet.ConfirmedAt(); ok {
 		c.d.confirmed.Store(int64(at))
 	}
@@ -149,6 +151,7 @@
 		Sequence:    c.sequence,
 		Slots:       uint32(c.local.Slots()),
 		State:       uint32(c.local.State()),
+		ColdUntil:   c.cold.announced,
 		Leaving:     c.d.stopping.Load(),
 		Removed:     c.d.stopping.Load() && c.local.State() == membership.Gone,
 	}
@@ -161,7 +164,7 @@
 	e := c.entry()
 	c.d.selfEntry.Store(e)
 	c.fleet.Announce(e)
-	c.row.requestWrite(e)
+	c.row.requestWrite(withoutColdness(e))
 }
 
 // Send implements fleet.Delegate.
@@ -215,6 +218,7 @@
 	c.logNotices(conf.Notices)
 	c.d.tokens.apply(conf.Organisations)
 	c.d.table.Store(routing.NewTable(conf, c.rng))
+	c.configureCold()
 	return c.generation
 }
 
@@ -283,8 +287,11 @@
 
 // handleHeartbeat handles a heartbeat of the local backend server.
 func (c *control) handleHeartbeat(h membership.Heartbeat) {
-	before := c.local.State()
+	before, accepted := c.local.State(), c.local.Accepted()
 	changed, restarted := c.local.HandleHeartbeat(h)
+	if c.local.Accepted() != accepted {
+		c.hearHeartbeat(h, restarted)
+	}
 	if !changed {
 		return
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -100,6 +100,8 @@
 	tokens          *tokens
 	control         *control
 
+	lost          lostConnections // connections to the backend server
+	coldServices  coldServices
 	inFlight      atomic.Int64 // requests in progress
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	stopping      atomic.Bool
@@ -148,7 +150,9 @@
 		IdleTimeout:    backendIdleTimeout,
 		MaxAnswerBytes: settings.heldBodyLimit(),
 		MaxHeldBytes:   2 * settings.heldBodyLimit(),
+		OnEnded:        d.noteEnded,
 	})
+	d.configureColdAtStart()
 	d.tokens = newTokens(d.sendFleet)
 	d.control = newControl(d)
 	cfg := link.Defaults()
@@ -218,6 +222,7 @@
 // endpointEntries returns the ready endpoints of a service from the directory.
 func (d *Daemon) endpointEntries(name string) []service.Endpoint {
 	var eps []service.Endpoint
+	share := d.coldShare(name)
 	for _, e := range *d.members.Load() {
 		if e.Service != name || e.Leaving || membership.State(e.State) != membership.Ready {
 			continue
@@ -230,6 +235,8 @@
 			Slots:       e.Slots,
 			Connections: e.Slots,
 			Incarnation: uint64(e.Born),
+			ColdShare:   share,
+			ColdUntil:   d.coldUntil(e, share),
 		})
 	}
 	return eps
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -262,6 +262,7 @@
 	o := service.Observation{Result: service.Succeeded, Duration: took}
 	if h != nil {
 		o.Bytes = h.BodyBytes
+		o.Draw = rand.Float64()
 		report := loadreport.FromAnswer(h)
 		o.Report = &report
 		if h.Status >= fasthttp.StatusInternalServerError {
@@ -296,6 +297,8 @@
 		return service.Unreachable
 	case transport:
 		return service.ConnectionLost
+	case fail.Reason == request.ReasonCold && fail.Outcome == request.NotRun:
+		return service.RefusedCold
 	case fail.Reason == request.ReasonDraining, fail.Reason == request.ReasonShutdown, fail.Reason == request.ReasonNoEndpoint:
 		return service.RefusedDraining
 	case fail.Outcome == request.NotRun:
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -197,9 +197,11 @@
 	if !c.Idempotent {
 		raw.MaxIdle = maxConnectionIdle
 	}
+	sentAt := d.now()
 	a, err := d.client.DoRaw(ctx, raw)
 	if err != nil {
 		e := request.AsError(err)
+		d.noteLost(e)
 		d.logDecision(c, "gate", string(e.Reason), d.self().Peer, 0)
 		return failureHead(e), backend.Result{
 			Failed:    e.Reason == request.ReasonBroken || e.Reason == request.ReasonNoEndpoint,
@@ -207,6 +209,7 @@
 		}
 	}
 	defer a.Release()
+	d.noteAnswered(a.Response, sentAt)
 	return d.answerOf(c, a)
 }
 
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -74,7 +74,8 @@
 // take a while.
 func (c *control) probe() {
 	t := c.d.table.Load()
-	if t == nil || c.probing || c.local.State() != membership.Unknown || c.d.stopping.Load() {
+	unknown := c.local.State() == membership.Unknown
+	if t == nil || c.probing || !unknown && !c.mustAskColdness() || c.d.stopping.Load() {
 		return
 	}
 	s := t.Service(c.d.settings.Service)
@@ -83,41 +84,51 @@
 	}
 	c.probing = true
 	go func() {
-		var id string
-		var slots int
-		c.d.protect("health check", func() { id, slots = c.d.checkHealth(s.HealthPath) })
+		var h health
+		askedAt := c.d.now()
+		c.d.protect("health check", func() { h = c.d.checkHealth(s.HealthPath) })
+		c.post(func() { c.hearHealth(h, askedAt) })
 		time.Sleep(tickInterval)
 		c.post(func() {
 			c.probing = false
-			if c.local.HandleProbe(id, slots) {
-				c.d.log.Info("backend server", "id", id, "state", c.local.State().String(), "by", "health check")
+			if unknown && c.local.HandleProbe(h.id, h.slots) {
+				c.d.log.Info("backend server", "id", h.id, "state", c.local.State().String(), "by", "health check")
 				c.backendChanged()
 			}
 		})
 	}()
 }
 
-// checkHealth sends a health check to the backend server on a new connection. It
-// returns the backend server's id when it is healthy, and its number of slots when
-// the response reports it.
-func (d *Daemon) checkHealth(path string) (id string, slots int) {
+// health is what a health check has found. It is empty unless the backend server is
+// healthy.
+type health struct {
+	id       string
+	slots    int // 0 when the response does not report it
+	cold     time.Duration
+	coldTold bool // the response reports cold
+}
+
+// checkHealth sends a health check to the backend server on a new connection.
+func (d *Daemon) checkHealth(path string) (h health) {
 	ctx, cancel := context.WithTimeout(d.background, probeTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", d.settings.Backend)
 	if err != nil {
-		return "", 0
+		return health{}
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
 	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + d.settings.Service + "\r\nConnection: close\r\n\r\n")); err != nil {
-		return "", 0
+		return health{}
 	}
 	var resp fasthttp.Response
 	if resp.Read(bufio.NewReader(io.LimitReader(conn, maxHealthBytes))) != nil || resp.StatusCode() != fasthttp.StatusOK {
-		return "", 0
+		return health{}
 	}
 	if l, ok := d.dialect.ParseLoad(string(resp.Header.Peek(d.names.Load))); ok {
-		slots = l.Slots
+		h.slots = l.Slots
 	}
-	return string(resp.Header.Peek(d.names.BackendID)), slots
+	h.id = string(resp.Header.Peek(d.names.BackendID))
+	h.cold, h.coldTold = parseCold(resp.Header.Peek(d.names.ColdRemaining))
+	return h
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -118,6 +118,8 @@
 		{"gate_queued", g.Queued},
 		{"gate_limit", g.Limit},
 		{"gate_level", uint32(g.Level)},
+		{"gate_cold", boolMetric(g.Cold > 0)},
+		{"gate_cold_refused_total", d.gate.Counts().Cold},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
@@ -131,3 +133,11 @@
 	hc.SetContentType("text/plain; version=0.0.4")
 	hc.SetBody(b.Bytes())
 }
+
+// boolMetric returns 1 for true and 0 for false.
+func boolMetric(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -25,6 +25,12 @@
 	ShutdownGrace time.Duration // from SIGTERM until the process is killed
 	KeyRevocation time.Duration // time within which a withdrawn key must stop working
 	Retries       RetryBounds
+
+	// No second may bring a cold backend server more than ColdOvershoot times the rate
+	// that the configuration gives for its service, plus ColdSlack calls. Both are 0
+	// when the settings do not give them.
+	ColdOvershoot float64
+	ColdSlack     float64
 }
 
 // Listen holds the addresses of the listeners, ip:port.
@@ -58,6 +64,7 @@
 	NotRun            string // present when the backend server did not run the request
 	BackendID         string // id of the backend server that answered
 	Load              string // load report of a backend server
+	ColdRemaining     string // how much longer a backend server tolerates only few calls a second, in milliseconds
 }
 
 // Load is what a backend server reports about itself.
