--- a/service/cold.go
+++ b/service/cold.go
@@ -33,7 +33,8 @@
 // arrive together. The gate of the endpoint holds the exact bound; the share keeps it
 // from refusing. All times are in ns on the clock of the picker.
 type coldShare struct {
-	active atomic.Bool // there is a share, and the endpoint is or may be cold
+	active  atomic.Bool  // there is a share
+	quietAt atomic.Int64 // from this time on the share restricts nothing: the maximum of until and pausedTo
 
 	mu        sync.Mutex
 	rate      float64 // calls a second; 0 turns the share off
@@ -58,15 +59,20 @@
 		c.setUntil(until)
 	}
 	c.active.Store(rate > 0)
+	c.updateQuiet()
 }
 
+// updateQuiet updates quietAt after a change of until or pausedTo.
+func (c *coldShare) updateQuiet() { c.quietAt.Store(max(c.until, c.pausedTo)) }
+
 // reported records how much longer the endpoint is cold according to its gate.
 func (c *coldShare) reported(now, left int64) {
-	if !c.active.Load() {
+	if !c.active.Load() || left <= 0 && now >= c.quietAt.Load() {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.updateQuiet()
 	if left <= 0 {
 		c.until = min(c.until, now)
 		return
@@ -94,12 +100,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pausedTo = now + int64(draw*float64(maxColdPause))
+	c.updateQuiet()
 }
 
 // skips reports whether the endpoint gets no call now. beyond allows calls beyond the
 // share.
 func (c *coldShare) skips(now int64, rng *rand.Rand, beyond bool) bool {
-	if !c.active.Load() {
+	if !c.active.Load() || now >= c.quietAt.Load() {
 		return false
 	}
 	c.mu.Lock()
@@ -119,7 +126,7 @@
 
 // take takes the token for a call that is about to be sent.
 func (c *coldShare) take(now int64) {
-	if !c.active.Load() {
+	if !c.active.Load() || now >= c.quietAt.Load() {
 		return
 	}
 	c.mu.Lock()
@@ -139,4 +146,5 @@
 	c.rate, c.announced, c.until = from.rate, from.announced, from.until
 	c.phased, c.next, c.pausedTo = from.phased, from.next, from.pausedTo
 	c.active.Store(from.active.Load())
+	c.updateQuiet()
 }
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -227,6 +228,7 @@
 
 // lostConnections counts the connections to the backend server that are lost in a row.
 type lostConnections struct {
+	some  atomic.Bool // n is not 0
 	mu    sync.Mutex
 	n     int
 	first time.Time
@@ -241,14 +243,19 @@
 		l.n, l.first = 0, now
 	}
 	l.n++
+	l.some.Store(true)
 	return l.n >= lostInARow
 }
 
 // reset ends the row.
 func (l *lostConnections) reset() {
+	if !l.some.Load() {
+		return
+	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.n = 0
-	l.mu.Unlock()
+	l.some.Store(false)
 }
 
 // noteLost records the error of a call to the backend server. A refused connection or
