backend, service: pace of a backend server that starts or recovers

Today a gate begins with all slots, so that a server that is slow after its start sheds calls, and choosers judge it by its long answers and by reports that are out of date. Where the configuration gives coldStartS, the gate now begins with an eighth of the slots after a start, after signs of a restart and after five failures of the server itself in a row. The limit grows with each good answer up to the ceiling times the usual service time over the present one, and steps back for sheds and failures. It ends after 1.5 times the usual length of the slow phase, so that a slow callee cannot hold it. Choosers let such an endpoint take part in a decision with a probability: the fraction of its limit times that of its speed.

--- a/backend/cold.go
+++ b/backend/cold.go
@@ -6,6 +6,10 @@
 type ColdConfig struct {
 	Rate  float64       // calls a second that a cold backend server tolerates; 0 turns the bound off
 	Start time.Duration // usual length of the cold phase; default 3 s
+
+	// Pace is the usual length of the slow phase after a start, during which the
+	// concurrency limit follows the answers; 0 turns that off.
+	Pace time.Duration
 }
 
 // ColdSource is where a word or a sign about coldness comes from.
--- a/backend/cold_test.go
+++ b/backend/cold_test.go
@@ -90,3 +90,18 @@
 	c.Tick(now.Add(maxColdRemaining + time.Second))
 	require.False(t, c.ColdState(now).Cold)
 }
+
+func TestOnlyFailuresOfTheBackendItselfBeginAPace(t *testing.T) {
+	for _, below := range []bool{true, false} {
+		c := NewCore(Config{Slots: 16, InitialLimit: 16})
+		c.ConfigureCold(epoch, ColdConfig{Pace: 3 * time.Second})
+		for range 2 * paceFailures {
+			k := coldTicket(epoch, time.Second, request.Normal)
+			c.Offer(epoch, k)
+			c.Finish(epoch, k, Result{Failed: true, Below: below, Latency: time.Millisecond})
+		}
+		require.Equal(t, !below, c.IsPaced())
+		c.Tick(epoch.Add(5 * time.Second))
+		require.False(t, c.IsPaced(), "held back for long")
+	}
+}
--- a/backend/coldcore.go
+++ b/backend/coldcore.go
@@ -10,6 +10,10 @@
 func (c *Core) ConfigureCold(now time.Time, cfg ColdConfig) []Event {
 	c.begin(now)
 	c.cold.configure(now, cfg)
+	c.pace.duration = cfg.Pace
+	if cfg.Pace <= 0 {
+		c.pace.active = false
+	}
 	c.trimCold()
 	c.dispatch(now)
 	return c.events
@@ -18,7 +22,11 @@
 // HearCold records what the backend server says about its coldness.
 func (c *Core) HearCold(now time.Time, w ColdWord) []Event {
 	c.begin(now)
+	was := c.cold.isCold
 	c.cold.hear(now, w)
+	if c.cold.isCold && !was {
+		c.beginPace(now)
+	}
 	c.trimCold()
 	c.dispatch(now)
 	return c.events
@@ -29,10 +37,27 @@
 func (c *Core) SuspectCold(now time.Time, by ColdSource) []Event {
 	c.begin(now)
 	c.cold.suspect(now, by)
+	c.beginPace(now)
 	c.trimCold()
 	return c.events
 }
 
+// BeginPace makes the concurrency limit start low, because the backend server has just
+// started.
+func (c *Core) BeginPace(now time.Time) []Event {
+	c.begin(now)
+	c.beginPace(now)
+	return c.events
+}
+
+func (c *Core) beginPace(now time.Time) {
+	c.pace.begin(now, c.cfg.ceiling())
+}
+
+// IsPaced reports whether the limit is held below the usual one after a start or
+// recovery.
+func (c *Core) IsPaced() bool { return c.pace.active }
+
 // ColdState returns the coldness of the backend server.
 func (c *Core) ColdState(now time.Time) ColdState { return c.cold.state(now) }
 
--- a/backend/coldgate.go
+++ b/backend/coldgate.go
@@ -40,6 +40,22 @@
 	return !before.UntilTold
 }
 
+// BeginPace makes the concurrency limit start low, because the backend server has just
+// started.
+func (g *Gate) BeginPace() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.core.BeginPace(g.now()))
+}
+
+// IsPaced reports whether the limit is held below the usual one after a start or
+// recovery.
+func (g *Gate) IsPaced() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.IsPaced()
+}
+
 // ColdOn reports whether the configuration bounds the calls to a cold backend server.
 func (g *Gate) ColdOn() bool { return g.coldOn.Load() }
 
--- a/backend/core.go
+++ b/backend/core.go
@@ -22,6 +22,7 @@
 	overload   overload
 	level      level
 	cold       cold
+	pace       pace
 	running    int
 	draining   bool
 	hint       Hint
@@ -129,6 +130,7 @@
 		c.counts.BackendShed++
 	}
 	c.limiter.Finish(now, c.running, t.started, r)
+	c.pace.finish(now, t.started, r, r.Failed && !r.Below, c.cfg.ceiling())
 	switch {
 	case r.Cancelled:
 		c.routeTimes.addLowerBound(t.Call.Route, r.Latency)
@@ -204,6 +206,7 @@
 	next = next.withDefaults()
 	c.cfg, c.level.cfg, c.overload.cfg = next, next, next
 	c.limiter.Resize(next)
+	c.pace.resize(next.ceiling())
 }
 
 // Restart resets the limit and discards the observed service times, because the
@@ -223,7 +226,7 @@
 	if c.limiter.service.n == 0 && c.hintsAtTrouble() {
 		return minLimit
 	}
-	return c.limiter.Limit()
+	return c.pace.bound(c.limiter.Limit())
 }
 
 // hintsAtTrouble reports whether a recent hint says that the backend server is
@@ -259,6 +262,7 @@
 func (c *Core) begin(now time.Time) {
 	c.events = c.events[:0]
 	c.cold.advance(now)
+	c.pace.advance(now)
 	if c.cold.isCold {
 		c.level.holdUntil = now.Add(c.cfg.Window) // the rate bounds the calls, not what the backend server can do
 	}
--- a/backend/ticket.go
+++ b/backend/ticket.go
@@ -52,5 +52,6 @@
 	Latency   time.Duration // from dispatch to the end of the answer; 0 for the time since the dispatch
 	Shed      bool          // the backend server reported that it did not run the call
 	Failed    bool          // no answer, or an answer that reports a server failure
+	Below     bool          // the failure was caused by a call that the backend server made
 	Cancelled bool          // cancelled before the end of the answer; Latency is a lower bound
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -141,14 +141,14 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// ColdRates returns the rates that cold backend servers tolerate, by service. Services
-// without one are left out.
-func (t *Table) ColdRates() map[string]float64 {
-	rates := make(map[string]float64)
-	for name, s := range t.services {
-		if s.ColdRate > 0 {
-			rates[name] = s.ColdRate
+// ColdServices returns the services whose backend servers are slow or tolerate only few
+// calls after a start.
+func (t *Table) ColdServices() []*Service {
+	var all []*Service
+	for _, s := range t.services {
+		if s.ColdRate > 0 || s.ColdStart > 0 {
+			all = append(all, s)
 		}
 	}
-	return rates
+	return all
 }
--- a/service/decision.go
+++ b/service/decision.go
@@ -40,11 +40,12 @@
 	SkipLargeBody        // the body is too large to leave the region
 	SkipLinkBudget       // the byte budget of the link to its region is used up
 	SkipCold             // it is cold and has got this daemon's share, or its gate refused a moment ago
+	SkipPaced            // it has just started or recovered and gets a part of an even share
 )
 
 var skipNames = [...]string{
 	"none", "tried", "draining", "ejected", "unreachable", "higher-cost",
-	"no-headroom", "large-body", "link-budget", "cold",
+	"no-headroom", "large-body", "link-budget", "cold", "paced",
 }
 
 // String returns the name used in logs.
--- a/service/endpoint.go
+++ b/service/endpoint.go
@@ -17,4 +17,8 @@
 	// endpoint while it is cold; 0 if cold endpoints are treated as others.
 	ColdShare float64
 	ColdUntil time.Time // end of the coldness that its daemon announced; zero if none
+
+	// SlowStart is how long a backend server of the service is slow after its start;
+	// 0 if new endpoints are treated as others.
+	SlowStart time.Duration
 }
--- a/service/pick.go
+++ b/service/pick.go
@@ -32,6 +32,7 @@
 
 	beyondShare bool // cold endpoints are used beyond this daemon's share
 	coldPassed  bool // an endpoint was skipped because it is cold
+	pacePassed  bool // an endpoint was skipped because it is paced
 }
 
 // Pick chooses the endpoint for one attempt of call. tried lists the peers that
@@ -42,8 +43,8 @@
 	w := pick{picker: p, now: p.since(now), rng: rng, call: call, tried: tried}
 	v := p.view.Load()
 	best := w.choose(v)
-	if best.state == nil && w.coldPassed {
-		// The gates of the cold endpoints know how many calls they have got.
+	if best.state == nil && (w.coldPassed || w.pacePassed) {
+		// The gates of these endpoints know how many calls they have got.
 		w.beyondShare = true
 		best = w.choose(v)
 	}
@@ -131,7 +132,7 @@
 			continue
 		}
 		worse := c
-		if c.cost < best.cost {
+		if w.prefers(c, &best) {
 			best, worse = c, best
 		}
 		w.decision.addPassedOver(worse.state.endpoint.Peer, SkipHigherCost, time.Duration(worse.cost))
@@ -139,6 +140,20 @@
 	return best
 }
 
+// paceWeight returns the probability with which s takes part in the decision.
+func (w *pick) paceWeight(s *state) float64 {
+	return s.paceWeight(w.now, w.picker.reports.Load(), w.picker.typical.load())
+}
+
+// prefers reports whether c is chosen instead of best. A paced endpoint is as likely to
+// be chosen as the other one, and then counts as equally expensive.
+func (w *pick) prefers(c candidate, best *candidate) bool {
+	if w.beyondShare || w.paceWeight(c.state) == 1 && w.paceWeight(best.state) == 1 {
+		return c.cost < best.cost
+	}
+	return w.rng.IntN(2) == 0
+}
+
 // cost returns the expected time of one attempt at s plus the cost of its bytes
 // (Config.ByteTime), in ns.
 func (w *pick) cost(s *state) float64 {
@@ -171,6 +186,12 @@
 		w.coldPassed = true
 		return SkipCold
 	}
+	if !w.beyondShare {
+		if p := w.paceWeight(s); p < 1 && w.rng.Float64() >= p {
+			w.pacePassed = true
+			return SkipPaced
+		}
+	}
 	if s.locality != OtherRegion {
 		return SkipNone
 	}
--- a/service/picker.go
+++ b/service/picker.go
@@ -15,6 +15,7 @@
 	seed       uint64
 	start      time.Time
 	link       LinkBudget
+	reports    atomic.Int64 // reports received of paced endpoints
 	answerSize atomic.Int64 // smoothed size of answer bodies, bytes
 	typical    atomicFloat  // smoothed response time over all endpoints, without network latency, ns
 
@@ -58,6 +59,7 @@
 	for l := range byLocality {
 		for _, e := range subset(byLocality[l], p.self.Peer, p.seed, p.config.Subset[l]) {
 			s := stateFor(old, e, Locality(l))
+			s.setPacing(e.SlowStart)
 			s.cold.announce(e.ColdShare, p.since(e.ColdUntil))
 			next.byLocality[l] = append(next.byLocality[l], s)
 			next.byPeer[e.Peer] = s
@@ -71,7 +73,7 @@
 // empty one otherwise.
 func stateFor(old *view, e Endpoint, l Locality) *state {
 	s := old.byPeer[e.Peer]
-	e.ColdShare, e.ColdUntil = 0, time.Time{} // they are kept in the state, and do not make another endpoint
+	e.ColdShare, e.ColdUntil, e.SlowStart = 0, time.Time{}, 0 // they are kept in the state, and do not make another endpoint
 	if s != nil && s.endpoint == e {
 		return s
 	}
@@ -98,6 +100,7 @@
 	s.report.Store(from.report.Load())
 	s.reportedAt.Store(from.reportedAt.Load())
 	s.cold.copyFrom(&from.cold)
+	s.copyPacing(from)
 }
 
 // Peers returns the peer addresses of the subset, nearest first. The daemon
@@ -133,6 +136,9 @@
 	if s.inFlight.Add(-1) < 0 {
 		s.inFlight.Add(1) // the attempt began before the endpoint's state was replaced
 	}
+	if o.Report != nil && s.pace.duration.Load() > 0 {
+		p.reports.Add(1)
+	}
 	p.updateService(o, s.locality)
 	t := p.since(now)
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
--- a/service/state.go
+++ b/service/state.go
@@ -41,6 +41,7 @@
 	draining      atomic.Bool  // the endpoint's gate or load report said that its backend server is draining
 	report        atomic.Pointer[Load]
 	cold          coldShare
+	pace          pacing
 	reportedAt    atomic.Int64 // time of the last load report, ns
 }
 
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
 	"strconv"
 	"strings"
@@ -53,6 +54,9 @@
 	announced int64             // end of the coldness in this daemon's entry, Unix ms; 0 if not cold
 	askedAt   time.Time         // start of the last health check
 
+	pacedBorn int64 // start time of the incarnation for which a pace has begun, Unix ms
+	paced     bool  // as last logged
+
 	told  bool // a heartbeat has said whether the backend server is cold
 	until time.Time
 }
@@ -87,9 +91,14 @@
 		left := c.cold.until.Sub(c.d.now())
 		c.d.gate.HearCold(backend.ColdWord{Source: backend.ColdHeartbeat, Remaining: max(left, 0)})
 	}
-	if c.d.coldServices.update(t) {
-		c.DirectoryChanged()
+	before := c.d.coldServices.of(c.d.settings.Service)
+	if !c.d.coldServices.update(t) {
+		return
+	}
+	if before.Pace == 0 && cfg.Pace > 0 && c.local.StartMs() > 0 {
+		c.beginPace(time.UnixMilli(c.local.StartMs()))
 	}
+	c.DirectoryChanged()
 }
 
 // coldConfig returns what a configuration says about cold backend servers of a service.
@@ -97,38 +106,38 @@
 	if s == nil {
 		return backend.ColdConfig{}
 	}
-	return backend.ColdConfig{Rate: s.ColdRate, Start: s.ColdStart}
+	return backend.ColdConfig{Rate: s.ColdRate, Start: s.ColdStart, Pace: s.ColdStart}
 }
 
-// coldServices holds the rates of cold backend servers by service.
+// coldServices holds what the configuration says about cold backend servers, by service.
 type coldServices struct {
 	mu    sync.Mutex
-	rates map[string]float64
+	known map[string]backend.ColdConfig
 }
 
-// update reads the rates from a configuration, and reports whether they changed.
+// update reads a configuration, and reports whether anything changed.
 func (s *coldServices) update(t *routing.Table) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rates := t.ColdRates()
-	changed = len(rates) != len(s.rates)
-	for name, r := range rates {
-		changed = changed || s.rates[name] != r
+	known := make(map[string]backend.ColdConfig)
+	for _, x := range t.ColdServices() {
+		known[x.Name] = coldConfig(x)
 	}
-	s.rates = rates
+	changed = !maps.Equal(known, s.known)
+	s.known = known
 	return changed
 }
 
-// rate returns the rate of cold backend servers of a service, 0 for no bound.
-func (s *coldServices) rate(name string) float64 {
+// of returns what the configuration says about cold backend servers of a service.
+func (s *coldServices) of(name string) backend.ColdConfig {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rates[name]
+	return s.known[name]
 }
 
 // coldShare returns the rate that this daemon may send to a cold endpoint of a service.
 func (d *Daemon) coldShare(name string) float64 {
-	return d.coldServices.rate(name) / float64(max(len(*d.members.Load()), 1))
+	return d.coldServices.of(name).Rate / float64(max(len(*d.members.Load()), 1))
 }
 
 // coldUntil returns the end of the coldness that another daemon has announced.
@@ -145,6 +154,10 @@
 
 // hearHeartbeat passes the coldness in a heartbeat to the gate.
 func (c *control) hearHeartbeat(h membership.Heartbeat, restarted bool) {
+	if h.State == membership.Ready && h.StartMs > c.cold.pacedBorn {
+		c.cold.pacedBorn = h.StartMs
+		c.beginPace(time.UnixMilli(h.StartMs))
+	}
 	switch {
 	case h.State == membership.Gone:
 		return
@@ -158,6 +171,29 @@
 	c.updateAnnouncedCold()
 }
 
+// beginPace makes the limit of the gate start low if the backend server has started less
+// than the usual length of the slow phase ago.
+func (c *control) beginPace(born time.Time) {
+	start := c.d.coldServices.of(c.d.settings.Service).Start
+	if age := time.Since(born); age < start {
+		c.d.gate.BeginPace()
+	}
+}
+
+// logPace logs the begin and the end of a pace.
+func (c *control) logPace() {
+	paced := c.d.gate.IsPaced()
+	if paced == c.cold.paced {
+		return
+	}
+	c.cold.paced = paced
+	line := "backend server at its usual pace"
+	if paced {
+		line = "backend server starts or recovers, limit held low"
+	}
+	c.d.log.Info(line, "limit", c.d.gate.Report().Limit)
+}
+
 // hearHealth passes the coldness in the response to a health check to the gate.
 func (c *control) hearHealth(h health, askedAt time.Time) {
 	if h.coldTold {
@@ -181,6 +217,7 @@
 
 // publishColdness logs the begin and the end of a coldness, and announces them.
 func (c *control) publishColdness() {
+	c.logPace()
 	s := c.d.gate.ColdState()
 	if !s.On && !c.cold.state.On {
 		return
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -134,3 +134,28 @@
 	require.Zero(t, d.self().ColdUntil)
 	require.Empty(t, d.control.mailbox)
 }
+
+// Failure: all slots of a backend server that has just started are used at once, or those
+// of one that has run for long are not because its daemon has restarted.
+func TestOnlyBackendThatHasJustStartedBeginsWithALowLimit(t *testing.T) {
+	for name, x := range map[string]struct {
+		rate  float64
+		born  time.Time
+		limit uint32
+	}{
+		"just started":     {14, time.Now(), 2},
+		"started long ago": {14, time.Now().Add(-time.Hour), 8},
+	} {
+		d := coldDaemon(t, x.rate)
+		beat(d, "b", x.born.UnixMilli(), 1, 0)
+		require.Equal(t, x.limit, d.gate.Report().Limit, name)
+	}
+	late, err := New(Settings{Listen: Listen{Peers: "10.0.0.1:7000"}, Service: "s"}, Options{Dialect: coldDialect{}, Store: unusedStore{}})
+	require.NoError(t, err)
+	beat(late, "b", time.Now().UnixMilli(), 1, 0)
+	require.Equal(t, uint32(8), late.gate.Report().Limit)
+	c := &routing.Configuration{Generation: 1, Services: []routing.Service{{Name: "s", ColdStart: 3 * time.Second}}}
+	late.table.Store(routing.NewTable(c, rand.New(rand.NewPCG(1, 2))))
+	late.control.configureCold()
+	require.Equal(t, uint32(2), late.gate.Report().Limit, "the configuration came after the heartbeat")
+}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -222,7 +222,7 @@
 // endpointEntries returns the ready endpoints of a service from the directory.
 func (d *Daemon) endpointEntries(name string) []service.Endpoint {
 	var eps []service.Endpoint
-	share := d.coldShare(name)
+	share, slowStart := d.coldShare(name), d.coldServices.of(name).Start
 	for _, e := range *d.members.Load() {
 		if e.Service != name || e.Leaving || membership.State(e.State) != membership.Ready {
 			continue
@@ -236,6 +236,7 @@
 			Connections: e.Slots,
 			Incarnation: uint64(e.Born),
 			ColdShare:   share,
+			SlowStart:   slowStart,
 			ColdUntil:   d.coldUntil(e, share),
 		})
 	}
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -140,6 +140,7 @@
 	}()
 	ans, res = d.dispatch(ctx, c, h, body)
 	ans.RetriedBelow = r.failedBelow.Load()
+	res.Below = ans.RetriedBelow || ans.Status == fasthttp.StatusGatewayTimeout
 	return ans, request.Priority(r.worstLevel.Load())
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -119,6 +119,7 @@
 		{"gate_limit", g.Limit},
 		{"gate_level", uint32(g.Level)},
 		{"gate_cold", boolMetric(g.Cold > 0)},
+		{"gate_paced", boolMetric(d.gate.IsPaced())},
 		{"gate_cold_refused_total", d.gate.Counts().Cold},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
 		{"members", len(*d.members.Load())},
