--- a/routing/table.go
+++ b/routing/table.go
@@ -148,3 +148,15 @@
 
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// ColdServices returns the services whose backend servers are slow or tolerate only few
+// calls after a start.
+func (t *Table) ColdServices() []*Service {
+	var all []*Service
+	for _, s := range t.services {
+		if s.ColdRate > 0 || s.ColdStart > 0 {
+			all = append(all, s)
+		}
+	}
+	return all
+}
--- a/service/decision.go
+++ b/service/decision.go
@@ -41,11 +41,13 @@
 	SkipLinkBudget       // the byte budget of the link to its region is used up
 	SkipHomeRegion       // the call is restricted to other regions
 	SkipEvacuated        // its data centre is evacuated
+	SkipCold             // it is cold and has got this daemon's share, or its gate refused a moment ago
+	SkipPaced            // it has just started or recovered and gets a part of an even share
 )
 
 var skipNames = [...]string{
 	"none", "tried", "draining", "ejected", "unreachable", "higher-cost",
-	"no-headroom", "large-body", "link-budget", "home-region", "evacuated",
+	"no-headroom", "large-body", "link-budget", "home-region", "evacuated", "cold", "paced",
 }
 
 // String returns the name used in logs.
--- a/service/pick.go
+++ b/service/pick.go
@@ -29,6 +29,10 @@
 	tried    []string
 	decision Decision
 	usable   [maxSubset]*state
+
+	beyondShare bool // cold endpoints are used beyond this daemon's share
+	coldPassed  bool // an endpoint was skipped because it is cold
+	pacePassed  bool // an endpoint was skipped because it is paced
 }
 
 // Pick chooses the endpoint for one attempt of call. tried lists the peers that
@@ -42,12 +46,21 @@
 		v = v.restrictedTo(call.Regions)
 	}
 	best := w.choose(v)
+	if best.state == nil && (w.coldPassed || w.pacePassed) {
+		// The gates of these endpoints know how many calls they have got.
+		w.beyondShare = true
+		best = w.choose(v)
+	}
 	if best.state == nil {
 		best = w.failOpen(v)
 	}
 	if best.state == nil {
+		if w.coldPassed {
+			return Endpoint{}, w.decision, errOnlyCold
+		}
 		return Endpoint{}, w.decision, w.noEndpoint(v)
 	}
+	best.state.cold.take(w.now)
 	w.decision.Peer = best.state.endpoint.Peer
 	w.decision.Locality = best.state.locality
 	w.decision.Cost = time.Duration(best.cost)
@@ -125,7 +138,7 @@
 			continue
 		}
 		worse := c
-		if c.cost < best.cost {
+		if w.prefers(c, &best) {
 			best, worse = c, best
 		}
 		w.decision.addPassedOver(worse.state.endpoint.Peer, SkipHigherCost, time.Duration(worse.cost))
@@ -133,6 +146,20 @@
 	return best
 }
 
+// paceWeight returns the probability with which s takes part in the decision.
+func (w *pick) paceWeight(s *state) float64 {
+	return s.paceWeight(w.now, w.picker.reports.Load(), w.picker.typical.load())
+}
+
+// prefers reports whether c is chosen instead of best. A paced endpoint is as likely to
+// be chosen as the other one, and then counts as equally expensive.
+func (w *pick) prefers(c candidate, best *candidate) bool {
+	if w.beyondShare || w.paceWeight(c.state) == 1 && w.paceWeight(best.state) == 1 {
+		return c.cost < best.cost
+	}
+	return w.rng.IntN(2) == 0
+}
+
 // cost returns the expected time of one attempt at s plus the cost of its bytes
 // (Config.ByteTime), in ns.
 func (w *pick) cost(s *state) float64 {
@@ -164,6 +191,16 @@
 	if why := s.skip(w.now); why != SkipNone {
 		return why
 	}
+	if s.cold.skips(w.now, w.rng, w.beyondShare) {
+		w.coldPassed = true
+		return SkipCold
+	}
+	if !w.beyondShare {
+		if p := w.paceWeight(s); p < 1 && w.rng.Float64() >= p {
+			w.pacePassed = true
+			return SkipPaced
+		}
+	}
 	if s.locality != OtherRegion {
 		return SkipNone
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -90,6 +90,8 @@
 	tokens          *tokens
 	control         *control
 
+	lost          lostConnections // connections to the backend server
+	coldServices  coldServices
 	inFlight      atomic.Int64 // requests in progress
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	stopping      atomic.Bool
@@ -137,7 +139,9 @@
 		IdleTimeout:    backendIdleTimeout,
 		MaxAnswerBytes: settings.heldBodyLimit(),
 		MaxHeldBytes:   2 * settings.heldBodyLimit(),
+		OnEnded:        d.noteEnded,
 	})
+	d.configureColdAtStart()
 	d.tokens = newTokens(d.sendFleet)
 	d.control = newControl(d)
 	d.callers = d.newCallerServer()
@@ -208,6 +212,7 @@
 // endpointEntries returns the ready endpoints of a service from the directory.
 func (d *Daemon) endpointEntries(name string) []service.Endpoint {
 	var eps []service.Endpoint
+	share, slowStart := d.coldShare(name), d.coldServices.of(name).Start
 	for _, e := range *d.members.Load() {
 		if e.Service != name || e.Leaving || membership.State(e.State) != membership.Ready {
 			continue
@@ -221,6 +226,9 @@
 			Connections: e.Slots,
 			Incarnation: uint64(e.Born),
 			Evacuated:   d.isEvacuated(e.DataCentre),
+			ColdShare:   share,
+			SlowStart:   slowStart,
+			ColdUntil:   d.coldUntil(e, share),
 		})
 	}
 	return eps
