backend, service: the present speed of backend servers

Some services report a fourth load figure, how long work takes at present in percent of the usual time. Load reports on answers were not read at all, and the choice took all endpoints of a service for equally fast, although their speeds differ for good by a factor of two or three and change many times a second.

The gate averages the figure (300 ms, unknown after 2 s) and reports it with its age. The choice multiplies the typical time by a lasting factor (service time measured by the endpoint's gate against that of all gates, 10 s) and a present one (figure against the endpoint's average figure, fading with its age). A low figure does not lower the time below the measured one. The gate's estimate of whether a call can finish in time follows the figure between the fastest tenth of the measured times and their median. Another region's headroom is divided by the factor. Without the figure the choices and the random draws are those of before.

--- a/backend/core.go
+++ b/backend/core.go
@@ -18,6 +18,7 @@
 	cfg        Config
 	limiter    *Limiter
 	routeTimes routeTimes
+	speed      speed
 	queue      queue
 	overload   overload
 	level      level
@@ -122,11 +123,12 @@
 		c.counts.BackendShed++
 	}
 	c.limiter.Finish(now, c.running, t.started, r)
+	c.speed.observe(now, r.WorkPercent)
 	switch {
 	case r.Cancelled:
 		c.routeTimes.addLowerBound(t.Call.Route, r.Latency)
 	case !r.Shed && !r.Failed:
-		c.routeTimes.add(t.Call.Route, r.Latency)
+		c.routeTimes.add(t.Call.Route, r.Latency, c.speed.get(now))
 	}
 	t.state = ended
 	c.running--
@@ -199,11 +201,16 @@
 	c.limiter.Resize(next)
 }
 
+// SetWorkPercent records a work percent that the backend server reported outside the
+// answer to a call.
+func (c *Core) SetWorkPercent(now time.Time, percent uint32) { c.speed.observe(now, percent) }
+
 // Restart resets the limit and discards the observed service times, because the
 // backend server was replaced.
 func (c *Core) Restart() {
 	c.limiter.Restart()
 	c.routeTimes = routeTimes{}
+	c.speed = speed{}
 }
 
 // SetHint records what the backend server reports about itself. A bad report only
@@ -310,7 +317,7 @@
 	if c.running < minProbes+c.Limit()/probeDivisor {
 		return false
 	}
-	return remaining < c.routeTimes.serviceTime(t.Call.Route)
+	return remaining < c.routeTimes.serviceTime(t.Call.Route, c.speed.get(now))
 }
 
 // dispatch starts waiting calls while fewer calls run than the limit allows.
--- a/backend/gate.go
+++ b/backend/gate.go
@@ -29,6 +29,9 @@
 	service    atomic.Int64
 	level      atomic.Uint32
 	draining   atomic.Bool
+
+	workPercent atomic.Uint32
+	workAt      atomic.Int64 // time of the newest figure in workPercent, Unix ns
 }
 
 // Report is the state of a gate and its backend server.
@@ -107,7 +110,7 @@
 
 // Report returns the current state without taking a lock.
 func (g *Gate) Report() Report {
-	return Report{
+	r := Report{
 		InFlight:    uint32(g.inFlight.Load()),
 		Queued:      uint32(g.waiting.Load()),
 		Limit:       uint32(g.limit.Load()),
@@ -115,6 +118,12 @@
 		Level:       request.Priority(g.level.Load()),
 		Draining:    g.draining.Load(),
 	}
+	if p := g.workPercent.Load(); p > 0 {
+		if age := time.Duration(g.now().UnixNano() - g.workAt.Load()); age < maxSpeedAge {
+			r.WorkPercent, r.WorkAge = p, max(age, 0)
+		}
+	}
+	return r
 }
 
 // Counts returns the cumulative counters.
@@ -185,6 +194,15 @@
 	g.core.SetHint(h)
 }
 
+// SetWorkPercent records a work percent that the backend server reported outside the
+// answer to a call, with the current time.
+func (g *Gate) SetWorkPercent(percent uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetWorkPercent(g.now(), percent)
+	g.publish()
+}
+
 // Resize applies the slots and connections that the backend server reports. The
 // observed service times are kept.
 func (g *Gate) Resize(cfg Config) {
@@ -222,6 +240,10 @@
 	g.service.Store(int64(c.ServiceTime()))
 	g.level.Store(uint32(c.Level()))
 	g.draining.Store(c.IsDraining())
+	g.workPercent.Store(uint32(c.speed.percent))
+	if c.speed.percent > 0 {
+		g.workAt.Store(c.speed.at.UnixNano())
+	}
 	if !g.isIdle && c.IsDraining() && c.Running() == 0 && c.Waiting() == 0 {
 		g.isIdle = true
 		close(g.idle)
--- a/backend/ticket.go
+++ b/backend/ticket.go
@@ -53,4 +53,8 @@
 	Shed      bool          // the backend server reported that it did not run the call
 	Failed    bool          // no answer, or an answer that reports a server failure
 	Cancelled bool          // cancelled before the end of the answer; Latency is a lower bound
+
+	// WorkPercent is the backend server's report of how long work takes at present, in
+	// percent of the usual time; 0 if it reported none.
+	WorkPercent uint32
 }
--- a/backend/window.go
+++ b/backend/window.go
@@ -49,6 +49,29 @@
 	medianStart = 8    // number of first samples that are averaged geometrically instead
 )
 
+// quantile estimates the duration that a fraction fastFraction of a stream of durations
+// stays below, by the same method as median.
+type quantile struct{ value float64 } // nanoseconds; 0 before the first sample
+
+// fastFraction is the fraction of the samples below a quantile.
+const fastFraction = 0.1
+
+// add records one sample.
+func (s *quantile) add(d time.Duration) {
+	x := math.Max(float64(d), 1)
+	switch {
+	case s.value == 0:
+		s.value = x
+	case x > s.value:
+		s.value *= 1 + medianStep*fastFraction
+	default:
+		s.value *= 1 - medianStep*(1-fastFraction)
+	}
+}
+
+// get returns the estimate, or 0 before the first sample.
+func (s *quantile) get() time.Duration { return time.Duration(s.value) }
+
 // add records one sample.
 func (s *median) add(d time.Duration) {
 	x := math.Max(float64(d), 1)
--- a/service/config.go
+++ b/service/config.go
@@ -47,6 +47,15 @@
 	// assumed to have the typical response time.
 	SlowFactor float64
 
+	// WorkWeight is the exponent with which the work percent that an endpoint reports
+	// enters its expected service time. 0 ignores the figure. Less than 1 keeps
+	// daemons that know the same figure from all choosing the same endpoint.
+	WorkWeight float64
+
+	// WorkMemory is the time constant with which a reported work percent loses
+	// weight with its age.
+	WorkMemory time.Duration
+
 	// LossCap is the largest ratio of failed and refused attempts that enters
 	// the cost: an endpoint's expected time is divided by one minus the ratio.
 	// It must be less than 1; 0 ignores losses.
@@ -81,6 +90,8 @@
 		ReportTTL:          time.Second,
 		Smoothing:          time.Second,
 		SlowFactor:         1.5,
+		WorkWeight:         1,
+		WorkMemory:         500 * time.Millisecond,
 		LossCap:            0.98,
 		InitialServiceTime: 20 * time.Millisecond,
 		EjectAfter:         5,
--- a/service/doc.go
+++ b/service/doc.go
@@ -23,6 +23,12 @@
 // is unused; once an attempt is in flight, the full weight applies again, so
 // that one attempt at a time probes the endpoint.
 //
+// Where endpoints report a work percent, the service time is corrected for the speed
+// of the endpoint: by how the service time that its gate measures compares with that
+// of the other gates over some seconds, and by how the reported percent compares with
+// its average. A reported percent never lowers the time below the measured response
+// time.
+//
 // # Spill
 //
 // A farther locality is chosen with a probability that grows with its cost
--- a/service/observe.go
+++ b/service/observe.go
@@ -34,6 +34,7 @@
 // resets the count of attempts sent since the last report.
 func (s *state) takeReport(now int64, r Load) {
 	s.sentSinceReport.Store(0)
+	s.usual.add(&r, now-s.reportedAt.Load())
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
--- a/service/pick.go
+++ b/service/pick.go
@@ -131,7 +131,7 @@
 // (Config.ByteTime), in ns.
 func (w *pick) cost(s *state) float64 {
 	perKiB := float64(w.picker.config.ByteTime[s.locality])
-	return s.cost(w.now, &w.picker.config, w.picker.typical.load()) + perKiB*float64(w.expectedBytes())/kib
+	return s.cost(w.now, &w.picker.config, w.picker.typical.load(), w.picker.gateTime.load()) + perKiB*float64(w.expectedBytes())/kib
 }
 
 // expectedBytes returns the expected size of an attempt in both directions, in
@@ -193,7 +193,7 @@
 	if r.Level > 0 || r.Queued > 0 {
 		return false
 	}
-	return s.outstanding(r)+1 <= share*s.limit(r)
+	return s.outstanding(r)+1 <= share*s.limit(r)/s.slowdown(w.now, r, w.picker.gateTime.load(), c)
 }
 
 // spills decides at random whether the call goes to the farther candidate. The
--- a/service/picker.go
+++ b/service/picker.go
@@ -17,6 +17,7 @@
 	link       LinkBudget
 	answerSize atomic.Int64 // smoothed size of answer bodies, bytes
 	typical    atomicFloat  // smoothed response time over all endpoints, without network latency, ns
+	gateTime   atomicFloat  // smoothed service time in the reports with a work percent of all endpoints, ns; 0 before the first
 
 	set  sync.Mutex // serialises SetEndpoints
 	view atomic.Pointer[view]
@@ -95,6 +96,7 @@
 	s.dialsFailed.Store(from.dialsFailed.Load())
 	s.report.Store(from.report.Load())
 	s.reportedAt.Store(from.reportedAt.Load())
+	s.usual.copyFrom(&from.usual)
 }
 
 // Peers returns the peer addresses of the subset, nearest first. The daemon
@@ -131,6 +133,7 @@
 		s.inFlight.Add(1) // the attempt began before the endpoint's state was replaced
 	}
 	p.updateService(o, s.locality)
+	p.updateGateTime(o.Report)
 	t := p.since(now)
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
 }
@@ -154,6 +157,22 @@
 	p.typical.store(old + (took-old)*serviceWeight)
 }
 
+// gateTimeWeight is the weight of one report in the average service time of the gates.
+const gateTimeWeight = 1.0 / 256
+
+// updateGateTime updates the average service time of the gates with a report that has
+// a work percent.
+func (p *Picker) updateGateTime(r *Load) {
+	if r == nil || r.WorkPercent == 0 || r.ServiceTime == 0 {
+		return
+	}
+	old := p.gateTime.load()
+	if old == 0 {
+		old = float64(r.ServiceTime)
+	}
+	p.gateTime.store(old + (float64(r.ServiceTime)-old)*gateTimeWeight)
+}
+
 // since returns the time from the Picker's start to now, in ns.
 func (p *Picker) since(now time.Time) int64 { return int64(now.Sub(p.start)) }
 
--- a/service/state.go
+++ b/service/state.go
@@ -41,6 +41,7 @@
 	draining      atomic.Bool  // the endpoint's gate or load report said that its backend server is draining
 	report        atomic.Pointer[Load]
 	reportedAt    atomic.Int64 // time of the last load report, ns
+	usual         usual        // what reports with a work percent have in common
 }
 
 // atomicFloat is a float64 that is read and written atomically.
@@ -82,18 +83,20 @@
 }
 
 // cost returns the expected time until an attempt is answered, including network
-// latency, in ns. typical is the typical response time of the service, in ns.
+// latency, in ns. typical is the typical response time of the service, and gateTime the
+// average service time that its gates report, both in ns.
 //
 // Endpoints with about the typical response time are compared by load and loss
 // alone: a call may itself call further services, so that small differences in
 // response time say little about the endpoint.
-func (s *state) cost(now int64, c *Config, typical float64) float64 {
+func (s *state) cost(now int64, c *Config, typical, gateTime float64) float64 {
 	weight := s.measuredWeight(now, c)
 	served := typical
 	if took := s.responseTime.load(); took > c.SlowFactor*typical {
 		served += (took - typical) * weight
 	}
 	r := s.freshReport(now, c.ReportTTL)
+	served = s.scaledByWork(now, r, served, typical, gateTime, c)
 	wait := served * (1 + s.outstanding(r)/s.limit(r))
 	loss := min(s.loss.load()*weight, c.LossCap)
 	return float64(c.Latency[s.locality]) + wait/(1-loss)
--- a/sidecar/decisions.go
+++ b/sidecar/decisions.go
@@ -176,6 +176,10 @@
 		b.number("queued", int64(g.Queued))
 		b.number("running", int64(g.InFlight))
 		b.number("limit", int64(g.Limit))
+		if g.WorkPercent > 0 {
+			b.number("work_percent", int64(g.WorkPercent))
+			b.number("work_age_ms", g.WorkAge.Milliseconds())
+		}
 		b.text("backend_state", d.backendSnapshot.Load().state.String())
 		b.number("age_ms", ageMillis(d.configurationAge()))
 	}
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -215,6 +215,7 @@
 // counts as broken.
 func (d *Daemon) answerOf(c *request.Call, a *backend.RawAnswer) (*wire.AnswerHead, backend.Result) {
 	r, status := a.Response, a.Response.StatusCode()
+	work := d.workPercentOf(&r.Header)
 	if len(r.Header.Peek(d.names.AttemptID)) == 0 {
 		e := request.NewUnknownError(request.ReasonBroken, "the backend server answered without the id of the request, look up its log", nil)
 		return failureHead(e), backend.Result{Failed: true}
@@ -223,7 +224,7 @@
 		e := request.NewNotRunError(request.ReasonBackendShed, "the backend server is full or another one, try again later")
 		e.RetryAfter = shedRetryAfter
 		d.logDecision(c, "gate", string(e.Reason), d.self().Peer, 0)
-		return failureHead(e), backend.Result{Shed: status != fasthttp.StatusMisdirectedRequest}
+		return failureHead(e), backend.Result{Shed: status != fasthttp.StatusMisdirectedRequest, WorkPercent: work}
 	}
 	signed := len(r.Header.Peek(d.names.Signature)) > 0
 	encoded := len(r.Header.Peek(fasthttp.HeaderContentEncoding)) > 0
@@ -237,7 +238,7 @@
 		Headers:   d.responseFields(&r.Header),
 		Body:      a.Body,
 		BodyBytes: int64(len(a.Body)),
-	}, backend.Result{Failed: status >= fasthttp.StatusInternalServerError}
+	}, backend.Result{Failed: status >= fasthttp.StatusInternalServerError, WorkPercent: work}
 }
 
 // failureHead encodes a typed error as an answer head.
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -118,6 +118,7 @@
 	}
 	if l, ok := d.dialect.ParseLoad(string(resp.Header.Peek(d.names.Load))); ok {
 		slots = l.Slots
+		d.gate.SetWorkPercent(l.WorkPercent)
 	}
 	return string(resp.Header.Peek(d.names.BackendID)), slots
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -118,6 +118,8 @@
 		{"gate_queued", g.Queued},
 		{"gate_limit", g.Limit},
 		{"gate_level", uint32(g.Level)},
+		{"backend_work_percent", g.WorkPercent},
+		{"backend_work_age_ms", g.WorkAge.Milliseconds()},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -61,7 +61,11 @@
 }
 
 // Load is what a backend server reports about itself.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+
+	WorkPercent uint32 // how long work takes at present, in percent of the usual time; 0 if unknown
+}
 
 // Dialect translates the header fields, paths and documents of the platform.
 type Dialect interface {
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -28,6 +28,7 @@
 	Outbound  string        // address that its own calls are sent to, ip:port
 	Call      Call          // call that each run makes, none if Path is empty
 	Body      string        // body of its answers; empty for "answer to" and the attempt ID
+	Load      string        // load report on its answers; empty for none
 }
 
 // Call is a call that each run makes.
@@ -196,6 +197,9 @@
 
 func (e *Endpoint) work(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("X-Server-Signature", "signed."+e.cfg.ID+"."+id)
+	if e.cfg.Load != "" {
+		w.Header().Set("X-Instance-Load", e.cfg.Load)
+	}
 	select {
 	case <-time.After(e.cfg.Work):
 	case <-r.Context().Done():
