service: hand on calls that a near gate sheds to endpoints with headroom

Callers of one region were refused (2,580 requests in 3.5 s) while the other region had room (5 refused): the choice compares expected times, and a full queue of short calls costs less than the latency and bytes between regions. Each daemon now keeps, for each endpoint, a share of calls that is handed on while the endpoint's gate reports an admission level. Only services whose backend servers report a work percent are affected.

--- a/service/config.go
+++ b/service/config.go
@@ -24,6 +24,12 @@
 	// from 0 at no advantage. 0 always chooses the lower cost.
 	SpillSpan time.Duration
 
+	// OverflowRise and OverflowFall are the times in which the share of calls that
+	// are handed on from a shedding endpoint to farther ones with headroom rises
+	// from 0 to 1 and falls back. 0 hands on none. Only services whose backend
+	// servers report a work percent are affected.
+	OverflowRise, OverflowFall time.Duration
+
 	// Headroom is, for each importance, the utilisation of an endpoint in
 	// another region (as a fraction of its limit) up to which a call may
 	// spill to it. 0 disables spilling for that importance.
@@ -85,6 +91,8 @@
 		Choices:            2,
 		Latency:            [Localities]time.Duration{0, 2 * time.Millisecond, 40 * time.Millisecond},
 		SpillSpan:          50 * time.Millisecond,
+		OverflowRise:       2 * time.Second,
+		OverflowFall:       5 * time.Second,
 		Headroom:           [4]float64{0.6, 0.7, 0.8, 0.9},
 		LargeBody:          256 << 10,
 		ReportTTL:          time.Second,
--- a/service/decision.go
+++ b/service/decision.go
@@ -11,11 +11,12 @@
 	WhyLowestCost            // lowest expected cost in the nearest locality that has endpoints
 	WhyOnly                  // the only usable endpoint
 	WhySpill                 // a farther locality had a lower expected cost
+	WhyOverflow              // the nearer endpoint is shedding, the farther one has headroom
 	WhyFarther               // the nearer localities have endpoints, but none is usable
 	WhyFailOpen              // no endpoint was usable; an ejected or unreachable one was chosen
 )
 
-var whyNames = [...]string{"none", "lowest-cost", "only", "spill", "farther", "fail-open"}
+var whyNames = [...]string{"none", "lowest-cost", "only", "spill", "overflow", "farther", "fail-open"}
 
 // String returns the name used in logs.
 func (w Why) String() string {
@@ -38,12 +39,13 @@
 	SkipHigherCost       // its expected cost was higher than that of another endpoint
 	SkipNoHeadroom       // it has no spare capacity for calls from other regions
 	SkipLargeBody        // the body is too large to leave the region
+	SkipShedding         // its gate is shedding, and part of its calls goes to farther endpoints
 	SkipLinkBudget       // the byte budget of the link to its region is used up
 )
 
 var skipNames = [...]string{
 	"none", "tried", "draining", "ejected", "unreachable", "higher-cost",
-	"no-headroom", "large-body", "link-budget",
+	"no-headroom", "large-body", "shedding", "link-budget",
 }
 
 // String returns the name used in logs.
--- a/service/observe.go
+++ b/service/observe.go
@@ -8,7 +8,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o.Report != nil {
-		s.takeReport(now, *o.Report)
+		s.takeReport(now, *o.Report, c)
 	}
 	switch o.Result {
 	case Succeeded:
@@ -32,9 +32,10 @@
 
 // takeReport stores a load report, its draining flag and its arrival time. It
 // resets the count of attempts sent since the last report.
-func (s *state) takeReport(now int64, r Load) {
+func (s *state) takeReport(now int64, r Load, c *Config) {
 	s.sentSinceReport.Store(0)
 	s.usual.add(&r, now-s.reportedAt.Load())
+	s.overflow.update(now, &r, c)
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
--- a/service/pick.go
+++ b/service/pick.go
@@ -71,11 +71,18 @@
 			w.decision.Why = w.nearestReason(Locality(l), v)
 			continue
 		}
-		if !w.spills(best, c) || !w.chargeLink(c) {
+		why, skip := WhySpill, SkipHigherCost
+		if !w.spills(best, c) {
+			if !w.handsOn(best, c) {
+				continue
+			}
+			why, skip = WhyOverflow, SkipShedding
+		}
+		if !w.chargeLink(c) {
 			continue
 		}
-		w.decision.addPassedOver(best.state.endpoint.Peer, SkipHigherCost, time.Duration(best.cost))
-		w.decision.Why = WhySpill
+		w.decision.addPassedOver(best.state.endpoint.Peer, skip, time.Duration(best.cost))
+		w.decision.Why = why
 		best = c
 	}
 	return best
--- a/service/picker.go
+++ b/service/picker.go
@@ -97,6 +97,8 @@
 	s.report.Store(from.report.Load())
 	s.reportedAt.Store(from.reportedAt.Load())
 	s.usual.copyFrom(&from.usual)
+	s.overflow.share.store(from.overflow.share.load())
+	s.overflow.changedAt = from.overflow.changedAt
 }
 
 // Peers returns the peer addresses of the subset, nearest first. The daemon
--- a/service/state.go
+++ b/service/state.go
@@ -42,6 +42,7 @@
 	report        atomic.Pointer[Load]
 	reportedAt    atomic.Int64 // time of the last load report, ns
 	usual         usual        // what reports with a work percent have in common
+	overflow      overflow     // calls that are handed on to farther localities
 }
 
 // atomicFloat is a float64 that is read and written atomically.
