--- a/backend/coldcore.go
+++ b/backend/coldcore.go
@@ -96,7 +96,7 @@
 	if !ok || at.Sub(now) >= coldMaxWait {
 		return true
 	}
-	return at.After(now) && !t.Call.Deadline.After(at.Add(c.routeTimes.serviceTime(t.Call.Route)))
+	return at.After(now) && !t.Call.Deadline.After(at.Add(c.routeTimes.serviceTime(t.Call.Route, c.speed.get(now))))
 }
 
 // refuseCold refuses t for want of an allowance. The admission level does not count
--- a/backend/gate.go
+++ b/backend/gate.go
@@ -33,6 +33,9 @@
 	coldOn     atomic.Bool
 	coldStart  atomic.Int64 // usual length of the cold phase, ns
 	epoch      time.Time
+
+	workPercent atomic.Uint32
+	workAt      atomic.Int64 // time of the newest figure in workPercent, Unix ns
 }
 
 // Report is the state of a gate and its backend server.
@@ -111,7 +114,7 @@
 
 // Report returns the current state without taking a lock.
 func (g *Gate) Report() Report {
-	return Report{
+	r := Report{
 		InFlight:    uint32(g.inFlight.Load()),
 		Queued:      uint32(g.waiting.Load()),
 		Limit:       uint32(g.limit.Load()),
@@ -120,6 +123,12 @@
 		Draining:    g.draining.Load(),
 		Cold:        g.coldRemaining(),
 	}
+	if p := g.workPercent.Load(); p > 0 {
+		if age := time.Duration(g.now().UnixNano() - g.workAt.Load()); age < maxSpeedAge {
+			r.WorkPercent, r.WorkAge = p, max(age, 0)
+		}
+	}
+	return r
 }
 
 // Counts returns the cumulative counters.
@@ -190,6 +199,15 @@
 	g.core.SetHint(h)
 }
 
+// SetWorkPercent records a work percent that the backend server reported outside the
+// answer to a call, with the current time.
+func (g *Gate) SetWorkPercent(percent uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetWorkPercent(g.now(), percent)
+	g.publish()
+}
+
 // Resize applies the slots and connections that the backend server reports. The
 // observed service times are kept.
 func (g *Gate) Resize(cfg Config) {
@@ -228,6 +246,10 @@
 	g.level.Store(uint32(c.Level()))
 	g.draining.Store(c.IsDraining())
 	g.publishCold()
+	g.workPercent.Store(uint32(c.speed.percent))
+	if c.speed.percent > 0 {
+		g.workAt.Store(c.speed.at.UnixNano())
+	}
 	if !g.isIdle && c.IsDraining() && c.Running() == 0 && c.Waiting() == 0 {
 		g.isIdle = true
 		close(g.idle)
--- a/backend/ticket.go
+++ b/backend/ticket.go
@@ -54,4 +54,8 @@
 	Failed    bool          // no answer, or an answer that reports a server failure
 	Below     bool          // the failure was caused by a call that the backend server made
 	Cancelled bool          // cancelled before the end of the answer; Latency is a lower bound
+
+	// WorkPercent is the backend server's report of how long work takes at present, in
+	// percent of the usual time; 0 if it reported none.
+	WorkPercent uint32
 }
--- a/service/pick.go
+++ b/service/pick.go
@@ -87,11 +87,18 @@
 			w.decision.Why = w.nearestReason(Locality(l), v)
 			continue
 		}
-		if !w.spills(best, c) || !w.chargeLink(c) {
+		why, skip := WhySpill, SkipHigherCost
+		if !w.spills(best, c) {
+			if !w.handsOn(best, c) {
+				continue
+			}
+			why, skip = WhyOverflow, SkipShedding
+		}
+		if !w.chargeLink(c) {
 			continue
 		}
-		w.decision.addPassedOver(best.state.endpoint.Peer, SkipHigherCost, time.Duration(best.cost))
-		w.decision.Why = WhySpill
+		w.decision.addPassedOver(best.state.endpoint.Peer, skip, time.Duration(best.cost))
+		w.decision.Why = why
 		best = c
 	}
 	return best
@@ -164,7 +171,7 @@
 // (Config.ByteTime), in ns.
 func (w *pick) cost(s *state) float64 {
 	perKiB := float64(w.picker.config.ByteTime[s.locality])
-	return s.cost(w.now, &w.picker.config, w.picker.typical.load()) + perKiB*float64(w.expectedBytes())/kib
+	return s.cost(w.now, &w.picker.config, w.picker.typical.load(), w.picker.gateTime.load()) + perKiB*float64(w.expectedBytes())/kib
 }
 
 // expectedBytes returns the expected size of an attempt in both directions, in
@@ -239,7 +246,7 @@
 	if r.Level > 0 || r.Queued > 0 {
 		return false
 	}
-	return s.outstanding(r)+1 <= share*s.limit(r)
+	return s.outstanding(r)+1 <= share*s.limit(r)/s.slowdown(w.now, r, w.picker.gateTime.load(), c)
 }
 
 // spills decides at random whether the call goes to the farther candidate. The
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -133,6 +133,7 @@
 	}
 	if l, ok := d.dialect.ParseLoad(string(resp.Header.Peek(d.names.Load))); ok {
 		h.slots = l.Slots
+		d.gate.SetWorkPercent(l.WorkPercent)
 	}
 	h.id = string(resp.Header.Peek(d.names.BackendID))
 	h.cold, h.coldTold = parseCold(resp.Header.Peek(d.names.ColdRemaining))
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -121,6 +121,8 @@
 		{"gate_cold", boolMetric(g.Cold > 0)},
 		{"gate_paced", boolMetric(d.gate.IsPaced())},
 		{"gate_cold_refused_total", d.gate.Counts().Cold},
+		{"backend_work_percent", g.WorkPercent},
+		{"backend_work_age_ms", g.WorkAge.Milliseconds()},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
