--- a/backend/gate_test.go
+++ b/backend/gate_test.go
@@ -29,7 +29,7 @@
 		var refused error
 		go func() { _, refused = g.Enter(ctx, callOf("second"), 1) }()
 		synctest.Wait()
-		require.Equal(t, 1, g.Report().Queued)
+		require.EqualValues(t, 1, g.Report().Queued)
 		cancel()
 		synctest.Wait()
 		require.Equal(t, request.ReasonCancelled, reasonOf(refused))
