Home regions in the own interface

Routes and organisations take home_regions. check and apply reject a region without a data centre. The entry restricts the request and the calls made for it, the choice of endpoints skips other regions, and the gate refuses by the regions of the call and by its own configuration unless that is older, before the call waits and again when it would run, in any case before it asks for a body that was not sent with the head.

Tests: TestRequestsAreServedInTheirHomeRegionsOnly (instance; failed with the regions left out of the call or of the match), TestHomeRegionsOfRouteAndOrganisationBothBind (config), three cases of TestEachFaultIsNamedWithLineAndRemedy: ok. The gate's check has a test of its rule (config) only, none with an entry whose configuration is older.

--- a/config/check.go
+++ b/config/check.go
@@ -41,6 +41,7 @@
 	l.checkKeys(organisations)
 	l.checkRoutes(services)
 	l.checkLinks()
+	l.checkRegions()
 	if len(l.dataCentres) == 0 && len(l.problems.list) == 0 {
 		l.problems.add(l.anyFile(), 0, "no data centre is declared", "add a data_centres section")
 	}
@@ -162,11 +163,37 @@
 	}
 }
 
-func (l *loader) checkLinks() {
+// regions returns the regions of the declared data centres.
+func (l *loader) regions() map[string]*origin {
 	regions := map[string]*origin{}
 	for i := range l.dataCentres {
 		regions[l.dataCentres[i].obj.Region] = l.dataCentres[i].at
 	}
+	return regions
+}
+
+// checkRegions reports home regions without a data centre.
+func (l *loader) checkRegions() {
+	regions := l.regions()
+	check := func(at *origin, of string, homes []string) {
+		for _, r := range homes {
+			if r != "" && regions[r] == nil {
+				at.problem("home_regions", fmt.Sprintf("region %q of %s has no data centre", r, of), "use a region of data_centres: "+listNames(regions))
+			}
+		}
+	}
+	for i := range l.routes {
+		r := &l.routes[i].obj
+		check(l.routes[i].at, "route "+r.Name, r.HomeRegions)
+	}
+	for i := range l.organisations {
+		o := &l.organisations[i].obj
+		check(l.organisations[i].at, "organisation "+o.Name, o.HomeRegions)
+	}
+}
+
+func (l *loader) checkLinks() {
+	regions := l.regions()
 	seen := map[string]*origin{}
 	for i := range l.links {
 		k, at := &l.links[i].obj, l.links[i].at
--- a/config/objects.go
+++ b/config/objects.go
@@ -28,6 +28,11 @@
 	// split.
 	Split map[string]float64 `yaml:"split,omitempty" json:"split,omitempty" validate:"dive,gte=0,lte=100"`
 
+	// HomeRegions are the only regions whose backend servers may serve the
+	// organisation's requests. The default is all. Together with those of a route,
+	// the regions that both allow count.
+	HomeRegions []string `yaml:"home_regions,omitempty" json:"home_regions,omitempty" validate:"unique,dive,required"`
+
 	// Since is the generation in which rate, burst or split last changed. Apply
 	// sets it; files cannot.
 	Since uint64 `yaml:"-" json:"since,omitempty"`
@@ -106,6 +111,10 @@
 	// WhenCutOff is serve or refuse. The default is keys.when_cut_off of the
 	// settings.
 	WhenCutOff CutOff `yaml:"when_cut_off,omitempty" json:"when_cut_off,omitempty" validate:"omitempty,oneof=serve refuse"`
+
+	// HomeRegions are the only regions whose backend servers may serve the
+	// requests, and the calls made for them. The default is all.
+	HomeRegions []string `yaml:"home_regions,omitempty" json:"home_regions,omitempty" validate:"unique,dive,required"`
 }
 
 // DataCentre is a zone with its own instances.
--- a/config/router.go
+++ b/config/router.go
@@ -19,6 +19,7 @@
 	RetryAllowance uint32        // extra attempts for the whole tree of calls
 	MaxBody        int64         // bytes
 	StoreDown      StoreDown
+	HomeRegions    []string      // the only regions that may serve the requests, empty for all
 	RefuseAge      time.Duration // configuration age above which keys are refused, 0 for never
 }
 
@@ -40,6 +41,7 @@
 type router struct {
 	prefixes map[string]map[string]*Match // prefix, then method
 	longest  int                          // bytes of the longest prefix
+	homes    map[string][]string          // home regions by name of route, of restricted routes only
 }
 
 func newRouter(c *Configuration) router {
@@ -47,13 +49,16 @@
 	for i := range c.Services {
 		services[c.Services[i].Name] = &c.Services[i]
 	}
-	t := router{prefixes: make(map[string]map[string]*Match, len(c.Routes))}
+	t := router{prefixes: make(map[string]map[string]*Match, len(c.Routes)), homes: make(map[string][]string)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		s := services[r.Service]
 		if s == nil {
 			continue
 		}
+		if len(r.HomeRegions) > 0 {
+			t.homes[r.Name] = r.HomeRegions
+		}
 		prefix := canonicalPrefix(r.Prefix)
 		byMethod := t.prefixes[prefix]
 		if byMethod == nil {
@@ -79,6 +84,7 @@
 		RetryAllowance: r.RetryAllowance,
 		MaxBody:        int64(r.MaxBody),
 		StoreDown:      r.StoreDown,
+		HomeRegions:    r.HomeRegions,
 	}
 	if m.Deadline == 0 {
 		m.Deadline = s.Deadline
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -95,6 +95,9 @@
 	if err := e.describe(owner, keyID); err != nil {
 		return err
 	}
+	if err := e.restrict(); err != nil {
+		return err
+	}
 	return e.prepare(h, inAuth)
 }
 
@@ -223,6 +226,7 @@
 		Body:         body.inline,
 		BodyFollows:  body.stream != nil,
 		Generation:   generation,
+		Regions:      c.Regions,
 	}
 }
 
--- a/instance/gatecall.go
+++ b/instance/gatecall.go
@@ -44,6 +44,7 @@
 		Depth:        h.Depth,
 		WorkSpent:    h.WorkSpent,
 		BodyBytes:    h.BodyBytes,
+		Regions:      h.Regions,
 		Remaining:    left,
 	}
 }
@@ -58,6 +59,10 @@
 	if err != nil {
 		return nil, d.refuse(in, request.AsError(err), nil)
 	}
+	if err := d.checkRegion(in); err != nil { // the configuration may have changed while the call waited
+		pass.Done(backend.Result{Cancelled: true})
+		return nil, d.refuse(in, err, nil)
+	}
 	d.decide(in.call, "gate", d.self.Peer, "admitted", "")
 	ctx, cancel := context.WithDeadline(ctx, in.call.Deadline)
 	run := &runningCall{
@@ -77,6 +82,9 @@
 	if in.head.Service != d.set.Backend.Service {
 		return request.NewNotRunError(request.ReasonUnknownMember, "this daemon serves "+d.set.Backend.Service+", the sender's list of endpoints is old")
 	}
+	if err := d.checkRegion(in); err != nil {
+		return err
+	}
 	// Child calls of a running request continue after a withdrawal; new
 	// requests are refused.
 	if in.call.Depth == 0 && d.view.Load().withdrawn(in.call.KeyID, in.head.Generation) {
--- a/instance/target.go
+++ b/instance/target.go
@@ -32,6 +32,7 @@
 	picker  *service.Picker
 	budget  *service.RetryBudget
 	rngs    sync.Pool // *rand.Rand, each used by one goroutine at a time
+	homes   sync.Once // the first call that is restricted to regions
 }
 
 // target returns the service of that name, subscribing to its endpoints on the
@@ -67,6 +68,9 @@
 	rng := t.rngs.Get().(*rand.Rand)
 	defer t.rngs.Put(rng)
 	d.stats.attempts.Add(1)
+	if call.Regions != nil {
+		d.enableHomes(t)
+	}
 	for {
 		now := d.now()
 		t.used.Store(int64(now.Sub(d.epoch)))
