wisteriafold evacuate: evacuations in the own interface

The choice of endpoints skips the data centre, the gate refuses new calls and takes the waiting ones out of its queue, a refusal is repeated elsewhere within the allowance, and status shows it.

Tests: TestEvacuationLastsUntilItIsUndone (failed without the mark kept by apply), TestEvacuatedDataCentreGetsNoRequests (instance; failed without the choosers being told): ok. The gate's own refusal is not tested apart from the choice there.

--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -153,6 +153,8 @@
 	switch {
 	case s.Stopping:
 		return "shutting down"
+	case s.Gate.Evacuated:
+		return "evacuated"
 	case s.Gate.Draining:
 		return "draining"
 	case !s.Backend.Announced:
--- a/cmd/wisteriafold/main.go
+++ b/cmd/wisteriafold/main.go
@@ -93,7 +93,7 @@
 	root.PersistentFlags().Bool("json", false, "print JSON for programs")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return withCode(exitUsage, err) })
 	root.AddCommand(
-		checkCommand(), applyCommand(), diffCommand(), showCommand(),
+		checkCommand(), applyCommand(), diffCommand(), showCommand(), evacuateCommand(),
 		statusCommand(), explainCommand(), traceCommand(), settingsCommand(), claimCommand(), keyCommand(), tryCommand(),
 	)
 	return root
--- a/config/apply.go
+++ b/config/apply.go
@@ -109,6 +109,11 @@
 // Unchanged; otherwise it is RaceError, FencedError, UnknownError
 // or, for a store that did not take the write, platform.UnavailableError.
 func Apply(ctx context.Context, table platform.Table, base *Stored, next *Configuration, id string) (Result, error) {
+	return commit(ctx, table, base, keepEvacuations(base.Snapshot.Configuration, next), id)
+}
+
+// commit writes the difference between base and next. Its results are those of Apply.
+func commit(ctx context.Context, table platform.Table, base *Stored, next *Configuration, id string) (Result, error) {
 	res := Result{ID: id, Generation: base.Snapshot.Generation}
 	next = stampSince(base.Snapshot.Configuration, next, base.Snapshot.Generation+1)
 	rows, err := diffRows(base.content, next)
--- a/config/objects.go
+++ b/config/objects.go
@@ -124,6 +124,10 @@
 
 	// Region groups data centres that are near each other.
 	Region string `yaml:"region" json:"region" validate:"required,name"`
+
+	// Evacuated says that no backend server of the data centre may receive
+	// requests. Only Evacuate sets it; files cannot, and Apply keeps it.
+	Evacuated bool `yaml:"-" json:"evacuated,omitempty"`
 }
 
 // Link is the connection between two regions.
--- a/instance/control.go
+++ b/instance/control.go
@@ -144,7 +144,7 @@
 	c.setRosters(now)
 	c.d.targets.Range(func(_, v any) bool {
 		t := v.(*target)
-		t.picker.SetEndpoints(s.Endpoints(t.name))
+		t.picker.SetEndpoints(c.d.endpointsOf(t.name))
 		return true
 	})
 }
@@ -184,6 +184,7 @@
 	fresh := newView(old, s, withdrawn)
 	c.d.view.Store(fresh)
 	c.d.evictWithdrawn(old, fresh)
+	c.applyEvacuations(old.snap, s)
 	if s.Generation != c.contractsGeneration {
 		c.contractsGeneration = s.Generation
 		c.setContracts(now, s)
@@ -313,7 +314,7 @@
 
 func (e subscribed) apply(c *control, now time.Time) {
 	c.members.Subscribe(now, e.t.name)
-	e.t.picker.SetEndpoints(c.members.Snapshot().Endpoints(e.t.name))
+	e.t.picker.SetEndpoints(c.d.endpointsOf(e.t.name))
 }
 
 // endpoint describes this daemon's backend server.
--- a/instance/forward.go
+++ b/instance/forward.go
@@ -131,7 +131,7 @@
 
 func resultOfFailure(ctx context.Context, fail *failure) service.Result {
 	switch {
-	case ctx.Err() != nil && fail.err.Reason == request.ReasonCancelled, fail.err.Reason == request.ReasonHomeRegion:
+	case ctx.Err() != nil && fail.err.Reason == request.ReasonCancelled, fail.err.Reason == request.ReasonHomeRegion, fail.err.Reason == request.ReasonEvacuated:
 		return service.Abandoned
 	case fail.transport && fail.err.Outcome == request.NotRun:
 		return service.Unreachable
--- a/instance/gatecall.go
+++ b/instance/gatecall.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, d.refuse(in, request.AsError(err), nil)
 	}
-	if err := d.checkRegion(in); err != nil { // the configuration may have changed while the call waited
+	if err := d.checkPlace(in); err != nil { // the configuration may have changed while the call waited
 		pass.Done(backend.Result{Cancelled: true})
 		return nil, d.refuse(in, err, nil)
 	}
@@ -82,7 +82,7 @@
 	if in.head.Service != d.set.Backend.Service {
 		return request.NewNotRunError(request.ReasonUnknownMember, "this daemon serves "+d.set.Backend.Service+", the sender's list of endpoints is old")
 	}
-	if err := d.checkRegion(in); err != nil {
+	if err := d.checkPlace(in); err != nil {
 		return err
 	}
 	// Child calls of a running request continue after a withdrawal; new
@@ -107,6 +107,7 @@
 // carries.
 func (d *Daemon) report(h *wire.AnswerHead, run *runningCall) {
 	r := d.gate.Report()
+	r.Evacuated = d.isEvacuatedHere()
 	r.ToAnswer(h)
 	h.WorstLevel = h.GateLevel
 	if run == nil {
--- a/instance/homes.go
+++ b/instance/homes.go
@@ -28,10 +28,14 @@
 	return nil
 }
 
-// checkRegion refuses a call that must not run in this region, by the regions that came
-// with it or by this daemon's configuration, unless that is older than the sender's.
-func (d *Daemon) checkRegion(in *incoming) *request.Error {
+// checkPlace refuses a call that must not run in this data centre, because it is
+// evacuated, or in this region, by the regions that came with the call or by this
+// daemon's configuration, unless that is older than the sender's.
+func (d *Daemon) checkPlace(in *incoming) *request.Error {
 	h := in.head
+	if d.isEvacuatedHere() {
+		return evacuatedError(d.self.DataCentre)
+	}
 	if len(h.Regions) > 0 && !slices.Contains(h.Regions, d.self.Region) {
 		return homeRegionError("the request is restricted to other regions than " + d.self.Region + ", run the same version on all daemons")
 	}
@@ -45,7 +49,7 @@
 func (d *Daemon) enableHomes(t *target) {
 	t.homes.Do(func() {
 		t.picker.EnableHomes()
-		t.picker.SetEndpoints(d.control.members.Snapshot().Endpoints(t.name))
+		t.picker.SetEndpoints(d.endpointsOf(t.name))
 		d.post(subscribed{t}) // the endpoints may have changed meanwhile
 	})
 }
--- a/instance/status.go
+++ b/instance/status.go
@@ -101,6 +101,7 @@
 		Links:     d.links.Stats(),
 		Decisions: DecisionStatus{Written: d.decisions.written.Load(), Dropped: d.decisions.dropped.Load()},
 	}
+	s.Gate.Evacuated = d.isEvacuatedHere()
 	d.entries.Range(func(k, e any) bool {
 		s.Routes = append(s.Routes, RouteStatus{k.(string), e.(*request.EntryControl).Report(d.now())})
 		return true
--- a/instance/target.go
+++ b/instance/target.go
@@ -53,7 +53,7 @@
 	}
 	t.rngs.New = func() any { return rand.New(rand.NewPCG(d.random(), d.random())) }
 	t.picker.SetLinkBudget(d.budgets)
-	t.picker.SetEndpoints(d.control.members.Snapshot().Endpoints(name))
+	t.picker.SetEndpoints(d.endpointsOf(name))
 	got, loaded := d.targets.LoadOrStore(name, t)
 	if !loaded {
 		d.post(subscribed{t})
--- a/service/retry.go
+++ b/service/retry.go
@@ -117,7 +117,7 @@
 	switch r {
 	case request.ReasonQueueFull, request.ReasonQueueTimeout, request.ReasonDraining,
 		request.ReasonBackendShed, request.ReasonBroken, request.ReasonShutdown,
-		request.ReasonBusy, request.ReasonUnknownMember, request.ReasonUnreachable:
+		request.ReasonBusy, request.ReasonUnknownMember, request.ReasonUnreachable, request.ReasonEvacuated:
 		return true
 	default:
 		return false
