backend: sheds at any load do not shut the entries for seconds

When all backend servers of a deep service shed a large part of their calls at any load, each gate cuts its limit until the floor shows that cuts do not help. Meanwhile its queue grows, and its level shuts the entries. The level then took 1.5 s to fall after the limit had been restored, and 4 s later the next trial did the same again.

When a trial restores the limit, the level returns to its value before the cuts. The pause in which sheds are ignored goes on, up to 32 s, while calls are shed at the ratio that cuts did not reduce.

--- a/backend/core.go
+++ b/backend/core.go
@@ -22,12 +22,15 @@
 	queue      queue
 	overload   overload
 	level      level
-	running    int
-	draining   bool
-	hint       Hint
-	lastSweep  time.Time
-	counts     Counts
-	events     []Event
+
+	levelBeforeTrial float64 // admission level when the limiter began to cut its limit for sheds
+
+	running   int
+	draining  bool
+	hint      Hint
+	lastSweep time.Time
+	counts    Counts
+	events    []Event
 }
 
 // Counts holds the cumulative counters of a gate.
@@ -122,7 +125,7 @@
 	if r.Shed {
 		c.counts.BackendShed++
 	}
-	c.limiter.Finish(now, c.running, t.started, r)
+	c.finishAtLimiter(now, t.started, r)
 	c.speed.observe(now, r.WorkPercent)
 	switch {
 	case r.Cancelled:
@@ -137,6 +140,21 @@
 	return c.events
 }
 
+// finishAtLimiter records the result of a call with the limiter. When the limiter finds
+// that cuts of its limit did not reduce the sheds and restores the limit, the admission
+// level returns to its value before the cuts.
+func (c *Core) finishAtLimiter(now, started time.Time, r Result) {
+	trial := &c.limiter.shedTrial
+	wasActive, refutations := trial.active, trial.refutations
+	c.limiter.Finish(now, c.running, started, r)
+	if trial.active && !wasActive {
+		c.levelBeforeTrial = c.level.value
+	}
+	if trial.refutations > refutations {
+		c.level.restore(c.levelBeforeTrial)
+	}
+}
+
 // Cancel ends a call whose caller went away before the call was sent to the
 // backend server. A waiting call is refused. For a call that has been started,
 // Cancel replaces Finish, and nothing is learned about the backend server.
--- a/backend/level.go
+++ b/backend/level.go
@@ -97,6 +97,10 @@
 	if !now.Before(l.holdUntil) {
 		l.correct(now, span)
 	}
+	l.newWindow(now)
+}
+
+func (l *level) newWindow(now time.Time) {
 	l.offered, l.compliant = [request.Classes]float64{}, [request.Classes]float64{}
 	l.started, l.shed, l.busySeconds = 0, 0, 0
 	l.shortest, l.startLen = l.waiting, l.waiting
@@ -181,6 +185,14 @@
 	l.setOpenFraction(c, open)
 }
 
+// restore lowers the level to the value of before an overload that was none, and forgets
+// the current window.
+func (l *level) restore(value float64) {
+	l.value = min(l.value, value)
+	l.holdUntil = time.Time{}
+	l.newWindow(l.lastLoad)
+}
+
 // class returns the class that the level lies in.
 func (l *level) class() int {
 	return max(0, min(request.Classes, int(math.Ceil(l.value/classWidth)))-1)
--- a/backend/shedtrial.go
+++ b/backend/shedtrial.go
@@ -20,7 +20,12 @@
 	sheds       int       // calls among them that were shed
 
 	ratio       float64 // moving average of the fraction of calls that are shed
+	refutations int     // trials that restored the limit
 	ignoreUntil time.Time
+	ignoreLimit time.Time     // latest end of an extended pause; zero when the pause is not extended
+	floorRatio  float64       // fraction of the calls that was shed at the floor
+	pauseRatio  float64       // fraction of the calls shed in the pause
+	pauseCalls  float64       // calls in the pause
 	pause       time.Duration // pause after the last trial that restored the limit
 }
 
@@ -33,11 +38,34 @@
 	firstShedPause         = 4 * time.Second // pause after the first refuted trial; doubles with each further one
 	maxShedPause           = 32 * time.Second
 	shedPauseReset         = 10 * time.Second // time without a trial after a pause that resets the pause
+	floorRatioRise         = 0.3              // rise of the shed ratio from the floor to the pause up to which sheds count as independent of the concurrency; over three standard deviations for shedTrialCalls
+	pauseRatioRise         = 0.25             // rise of the shed ratio that ends an extended pause; four standard deviations of the moving average
 	endedTrialFraction     = 0.5              // fraction of limitBefore above which a trial at the floor ends: the cuts have helped
 )
 
-// ignores reports whether sheds are ignored at now.
-func (s *shedTrial) ignores(now time.Time) bool { return now.Before(s.ignoreUntil) }
+// ignores reports whether sheds are ignored at now. A pause is extended, up to
+// maxShedPause, while calls are shed at about the ratio that cuts did not reduce:
+// another trial would show the same, and calls would wait during it.
+func (s *shedTrial) ignores(now time.Time) bool {
+	return now.Before(s.ignoreUntil) || now.Before(s.ignoreLimit)
+}
+
+// inPause counts a call of the pause, or ends the extension of the pause when the shed
+// ratio is no longer the one that cuts did not reduce.
+func (s *shedTrial) inPause(now time.Time, shed bool) {
+	switch {
+	case s.ignoreLimit.IsZero():
+	case now.Before(s.ignoreUntil):
+		s.pauseCalls++
+		x := 0.0
+		if shed {
+			x = 1
+		}
+		s.pauseRatio += (x - s.pauseRatio) / s.pauseCalls
+	case s.ratio < minPointlessRatio, s.pauseRatio > s.floorRatio+floorRatioRise, s.ratio > s.pauseRatio+pauseRatioRise:
+		s.ignoreLimit = time.Time{}
+	}
+}
 
 // cut records that the limit was cut from before.
 func (s *shedTrial) cut(now time.Time, before float64, atFloor bool) {
@@ -45,7 +73,7 @@
 		if s.pause > 0 && now.Sub(s.ignoreUntil) > shedPauseReset {
 			s.pause = 0
 		}
-		*s = shedTrial{active: true, limitBefore: before, ratioBefore: s.ratio, ratio: s.ratio, pause: s.pause}
+		*s = shedTrial{active: true, limitBefore: before, ratioBefore: s.ratio, ratio: s.ratio, pause: s.pause, refutations: s.refutations}
 	}
 	if atFloor && s.bottomSince.IsZero() {
 		s.bottomSince = now
@@ -71,6 +99,7 @@
 	if shed {
 		s.ratio += shedRatioWeight
 	}
+	s.inPause(now, shed)
 	if !s.active {
 		return
 	}
@@ -90,9 +119,12 @@
 	}
 	s.active = false
 	if s.refuted() {
+		s.refutations++
 		l.limit = min(l.maxLimit, max(l.limit, s.limitBefore))
 		l.knee = l.limit
 		s.pause = min(maxShedPause, max(firstShedPause, 2*s.pause))
 		s.ignoreUntil = now.Add(s.pause)
+		s.ignoreLimit = now.Add(maxShedPause)
+		s.floorRatio, s.pauseRatio, s.pauseCalls = float64(s.sheds)/float64(s.calls), 0, 0
 	}
 }
