backend: the admission level counts calls by their work where classes differ

Where a few long calls of one class fill a backend server and most of the calls are short ones of another, a level that counts calls sees a small excess in the wrong unit. It refused all long calls and then short important ones, the slots emptied to a half, and the next swing began.

Calls count by the service time of their class, in multiples of the mean, while at least a tenth of the work is in classes whose calls are three times as long or short as the mean. The capacity is then the slots' time, because calls of earlier windows occupy them. Within one class nothing changes.

The metrics gate_standing_overload, gate_calls_by_work and gate_sheds_ignored show which decisions depend on such a pattern at present.

--- a/backend/chain_test.go
+++ b/backend/chain_test.go
@@ -406,6 +406,24 @@
 	return c
 }
 
+// Pattern: a burst of long calls of the least important route meets the short calls of
+// important trees at a narrow service. Most of the calls are short, but most of the work
+// is in the long ones. An admission level that counts calls refuses important trees, and
+// swings between too much and far too little load.
+func TestBurstOfLongUnimportantCallsLeavesImportantTreesAlone(t *testing.T) {
+	for _, burst := range []float64{2.3, 2.6} {
+		c := newChain()
+		c.burst, c.shed = burst, 0
+		runChain(t, c)
+		page, _, _ := c.part("burst", "page")
+		direct, _, _ := c.part("burst", "direct")
+		room := slotsOfS4*gatesOfS4 - c.trees*float64(c.calls)*shortWork.Seconds()
+		fits := min(1, room/(c.direct*burst*longWork.Seconds()))
+		require.Greater(t, page, 0.99, "burst %v", burst)
+		require.Greater(t, direct, 0.85*fits, "burst %v: %.2f of the calls fit beside the trees", burst, fits)
+	}
+}
+
 // Pattern: all backend servers of a deep service shed a large part of their calls for
 // several seconds, whatever their load. While the gates find out that a lower limit does
 // not help, their admission level rises, and the entries refuse requests that would have
--- a/backend/core.go
+++ b/backend/core.go
@@ -22,6 +22,7 @@
 	queue      queue
 	overload   overload
 	level      level
+	callWork   callWork
 
 	levelBeforeTrial float64 // admission level when the limiter began to cut its limit for sheds
 
@@ -86,7 +87,9 @@
 		c.refuse(t, errDraining)
 		return c.events
 	}
-	c.level.offer(t.priority)
+	t.work = c.callWork.offered(t.priority.Importance(), c.routeTimes.median(t.Call.Route))
+	c.level.meanCall = c.callWork.meanCall()
+	c.level.offer(t.priority, t.work)
 	if c.cannotMeet(now, t) {
 		c.counts.Deadline++
 		c.refuse(t, errDeadline)
@@ -276,7 +279,7 @@
 // now, and refuses expired calls.
 func (c *Core) begin(now time.Time) {
 	c.events = c.events[:0]
-	c.level.load(now, c.running, c.Limit(), c.queue.len)
+	c.level.load(now, c.running, c.Limit(), c.queue.work)
 	c.overload.advance(now, c.queue.len)
 	c.queue.setStandingOverload(c.overload.standing)
 	c.level.advance(now)
@@ -306,12 +309,12 @@
 func (c *Core) expire(now time.Time, t *Ticket) {
 	if c.cannotMeet(now, t) {
 		c.counts.Deadline++
-		c.level.shed++
+		c.level.shed += t.work
 		c.refuse(t, errDeadline)
 		return
 	}
 	c.counts.QueueTimeout++
-	c.level.shed++
+	c.level.shed += t.work
 	c.refuse(t, errQueueTimeout)
 }
 
@@ -358,14 +361,14 @@
 	t.state, t.started, t.flow = running, now, nil
 	c.running++
 	c.counts.Started++
-	c.level.started++
+	c.level.started += t.work
 	c.events = append(c.events, Event{Ticket: t})
 }
 
 // refuseQueueFull refuses t because the queue is full.
 func (c *Core) refuseQueueFull(t *Ticket, e *request.Error) {
 	c.counts.QueueFull++
-	c.level.shed++
+	c.level.shed += t.work
 	c.refuse(t, e)
 }
 
--- a/backend/level.go
+++ b/backend/level.go
@@ -29,14 +29,16 @@
 	windowStart time.Time
 	holdUntil   time.Time // no correction before this time
 
-	offered     [request.Classes]float64 // calls offered in the window
-	compliant   [request.Classes]float64 // offered calls with a priority at or above the level
-	started     float64                  // calls started in the window
-	shed        float64                  // calls refused in the window after they had waited, or because the queue was full
-	shortest    int                      // shortest length of the queue in the window
-	startLen    int                      // length of the queue at the start of the window
-	waiting     int                      // current length of the queue
+	offered     [request.Classes]float64 // work of the calls offered in the window
+	compliant   [request.Classes]float64 // work of the offered calls with a priority at or above the level
+	started     float64                  // work of the calls started in the window
+	shed        float64                  // work of the calls refused in the window after they had waited, or because the queue was full
+	shortest    float64                  // least work in the queue in the window
+	startLen    float64                  // work in the queue at the start of the window
+	waiting     float64                  // work in the queue
 	busySeconds float64                  // integral of running / limit over the window, in seconds
+	slotSeconds float64                  // integral of limit over the window, in seconds
+	meanCall    time.Duration            // service time of a call of work 1 while calls are counted by their work, else 0
 	lastLoad    time.Time                // last call of load
 	fallFactor  float64                  // largest factor of the next fall
 }
@@ -63,20 +65,21 @@
 // classWidth is request.ClassWidth as a float64.
 const classWidth = float64(request.ClassWidth)
 
-// offer records one offered call.
-func (l *level) offer(p request.Priority) {
+// offer records one offered call with its work.
+func (l *level) offer(p request.Priority, work float64) {
 	c := min(int(p.Importance()), request.Classes-1)
-	l.offered[c]++
+	l.offered[c] += work
 	if float64(p) >= l.value {
-		l.compliant[c]++
+		l.compliant[c] += work
 	}
 }
 
 // load records that since the previous call of load the gate has been running
-// `running` of at most `limit` calls, with `waiting` calls in its queue.
-func (l *level) load(now time.Time, running, limit, waiting int) {
+// `running` of at most `limit` calls, with the work `waiting` in its queue.
+func (l *level) load(now time.Time, running, limit int, waiting float64) {
 	if dt := now.Sub(l.lastLoad); dt > 0 && !l.lastLoad.IsZero() {
 		l.busySeconds += min(1, float64(running)/float64(limit)) * dt.Seconds()
+		l.slotSeconds += float64(limit) * dt.Seconds()
 	}
 	l.lastLoad = now
 	l.waiting = waiting
@@ -102,7 +105,7 @@
 
 func (l *level) newWindow(now time.Time) {
 	l.offered, l.compliant = [request.Classes]float64{}, [request.Classes]float64{}
-	l.started, l.shed, l.busySeconds = 0, 0, 0
+	l.started, l.shed, l.busySeconds, l.slotSeconds = 0, 0, 0, 0
 	l.shortest, l.startLen = l.waiting, l.waiting
 	l.windowStart = now
 }
@@ -110,12 +113,17 @@
 // correct moves the level at the end of a window of length span.
 func (l *level) correct(now time.Time, span time.Duration) {
 	total := sum(&l.offered)
-	target := l.started * float64(targetQueueWait) / float64(span)
 	utilisation := max(minUtilisation, min(1, l.busySeconds/span.Seconds()))
-	capacity := l.started / utilisation
-	allowed := capacity + queueGain*(target-float64(l.waiting))
-	queueLong := float64(l.shortest) > max(target, 1)
-	draining := float64(l.waiting) < drainingFraction*float64(l.startLen)
+	served, capacity := l.started, l.started/utilisation
+	if l.meanCall > 0 {
+		// The slots are occupied by long calls that were started in earlier windows.
+		capacity = l.slotSeconds / l.meanCall.Seconds()
+		served = capacity
+	}
+	target := served * float64(targetQueueWait) / float64(span)
+	allowed := capacity + queueGain*(target-l.waiting)
+	queueLong := l.shortest > max(target, 1)
+	draining := l.waiting < drainingFraction*l.startLen
 	overloaded := l.shed > shedTolerance*total || queueLong && !draining
 	switch {
 	case total > allowed && (overloaded || l.value > 0):
--- a/backend/queue.go
+++ b/backend/queue.go
@@ -54,6 +54,7 @@
 type queue struct {
 	bands [bands]band
 	len   int
+	work  float64 // of the waiting tickets
 	seq   uint64
 }
 
@@ -116,6 +117,7 @@
 	}
 	f.tickets = append(f.tickets, t)
 	q.len++
+	q.work += t.work
 }
 
 // best returns the next ticket to dispatch, or nil when none waits.
@@ -224,6 +226,10 @@
 	}
 	f.tickets = slices.Delete(f.tickets, i, i+1)
 	q.len--
+	q.work -= t.work
+	if q.len == 0 {
+		q.work = 0 // without rounding errors
+	}
 	if len(f.tickets) > 0 {
 		return
 	}
--- a/backend/routetimes.go
+++ b/backend/routetimes.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// median returns the median latency of the route, or 0 while it is unknown.
+func (k *routeTimes) median(route string) time.Duration {
+	if q := k.byRoute[route]; q != nil {
+		return q.median.get()
+	}
+	return 0
+}
+
 // serviceTime returns the median latency of the route, or 0 while it is unknown. When
 // the backend server reports that it is faster than during the measured calls, the
 // median is scaled accordingly, but not below the latency of the fastest calls. A
--- a/backend/shedtrial_test.go
+++ b/backend/shedtrial_test.go
@@ -16,7 +16,7 @@
 		r := rand.New(rand.NewPCG(1, 2))
 		s := shedTrial{ratio: seen, floorRatio: seen, ignoreUntil: epoch.Add(firstShedPause), ignoreLimit: epoch.Add(maxShedPause)}
 		l := &Limiter{cfg: Config{Slots: 10}.withDefaults(), limit: 10, shedTrial: s}
-		now := epoch
+		var now time.Time
 		for now = epoch; now.Before(epoch.Add(2 * maxShedPause)); now = now.Add(5 * time.Millisecond) {
 			p := seen
 			if now.After(epoch.Add(firstShedPause)) {
--- a/backend/ticket.go
+++ b/backend/ticket.go
@@ -26,6 +26,7 @@
 	band     int
 	priority request.Priority
 	seq      uint64
+	work     float64 // in multiples of the mean work of a call
 	flow     *flow
 	offered  time.Time
 	started  time.Time
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -105,11 +105,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`store_calls_total{call=%q,result=%q}`, call, result)).Inc()
 }
 
+// flag returns the value of a metric that tells whether something is so.
+func flag(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // serveMetrics writes the metrics in the Prometheus text format.
 func (d *Daemon) serveMetrics(hc *fasthttp.RequestCtx) {
 	var b bytes.Buffer
 	d.metrics.set.WritePrometheus(&b)
-	g := d.gate.Report()
+	g, modes := d.gate.Report(), d.gate.Modes()
 	for _, x := range []struct {
 		name  string
 		value any
@@ -118,6 +126,9 @@
 		{"gate_queued", g.Queued},
 		{"gate_limit", g.Limit},
 		{"gate_level", uint32(g.Level)},
+		{"gate_standing_overload", flag(modes.StandingOverload)},
+		{"gate_calls_by_work", flag(modes.CallsByWork)},
+		{"gate_sheds_ignored", flag(modes.ShedsIgnored)},
 		{"backend_work_percent", g.WorkPercent},
 		{"backend_work_age_ms", g.WorkAge.Milliseconds()},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
