sidecar: trees are held to the levels of gates like single calls

A run reported the highest admission level that the answers to its calls had carried. The gates of a service have different levels, so a tree with four calls to a service was held to the tightest of four of them, and a single call to the average one. Of each called service, the latest answer now counts, and the tightest of the services.

--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -264,7 +264,7 @@
 // observe records the admission levels that a gate reported.
 func (e *entry) observe(h *wire.AnswerHead) {
 	if e.parent != nil {
-		raiseTo(&e.parent.worstLevel, h.WorstLevel)
+		e.parent.levels.set(e.call.Service, h.WorstLevel)
 	}
 	if !e.call.WorkSpent {
 		e.routeState.Observe(e.d.now(), request.Feedback{
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -43,9 +43,9 @@
 	tree         request.Tree
 	importance   request.Importance
 	organisation string
-	worstLevel   atomic.Uint32 // highest admission level reported to its calls
-	failedBelow  atomic.Bool   // one of its calls failed
-	answered     atomic.Int32  // number of its calls that were answered without a 5xx status
+	levels       levels       // admission levels reported to its calls
+	failedBelow  atomic.Bool  // one of its calls failed
+	answered     atomic.Int32 // number of its calls that were answered without a 5xx status
 }
 
 // runs holds the requests that are running on the local backend server, by attempt
@@ -71,16 +71,6 @@
 	r.mu.Unlock()
 }
 
-// raiseTo sets level to the maximum of its value and to.
-func raiseTo(level *atomic.Uint32, to uint32) {
-	for {
-		old := level.Load()
-		if to <= old || level.CompareAndSwap(old, to) {
-			return
-		}
-	}
-}
-
 // parentOf returns the running request that made the call with this id, nil when
 // there is none.
 func (r *runs) parentOf(id string) *run {
@@ -140,7 +130,7 @@
 	}()
 	ans, res = d.dispatch(ctx, c, h, body)
 	ans.RetriedBelow = r.failedBelow.Load()
-	return ans, request.Priority(r.worstLevel.Load())
+	return ans, request.Priority(r.levels.worst())
 }
 
 // checkRunnable refuses a call that must not run on the local backend server,
