--- a/backend/core.go
+++ b/backend/core.go
@@ -24,12 +24,16 @@
 	level      level
 	cold       cold
 	pace       pace
-	running    int
-	draining   bool
-	hint       Hint
-	lastSweep  time.Time
-	counts     Counts
-	events     []Event
+	callWork   callWork
+
+	levelBeforeTrial float64 // admission level when the limiter began to cut its limit for sheds
+
+	running   int
+	draining  bool
+	hint      Hint
+	lastSweep time.Time
+	counts    Counts
+	events    []Event
 }
 
 // Counts holds the cumulative counters of a gate.
@@ -86,7 +90,9 @@
 		c.refuse(t, errDraining)
 		return c.events
 	}
-	c.level.offer(t.priority)
+	t.work = c.callWork.offered(t.priority.Importance(), c.routeTimes.median(t.Call.Route))
+	c.level.meanCall = c.callWork.meanCall()
+	c.level.offer(t.priority, t.work)
 	if c.cannotMeet(now, t) {
 		c.counts.Deadline++
 		c.refuse(t, errDeadline)
@@ -130,7 +136,7 @@
 	if r.Shed {
 		c.counts.BackendShed++
 	}
-	c.limiter.Finish(now, c.running, t.started, r)
+	c.finishAtLimiter(now, t.started, r)
 	c.pace.finish(now, t.started, r, r.Failed && !r.Below, c.cfg.ceiling())
 	c.speed.observe(now, r.WorkPercent)
 	switch {
@@ -146,6 +152,21 @@
 	return c.events
 }
 
+// finishAtLimiter records the result of a call with the limiter. When the limiter finds
+// that cuts of its limit did not reduce the sheds and restores the limit, the admission
+// level returns to its value before the cuts.
+func (c *Core) finishAtLimiter(now, started time.Time, r Result) {
+	trial := &c.limiter.shedTrial
+	wasActive, refutations := trial.active, trial.refutations
+	c.limiter.Finish(now, c.running, started, r)
+	if trial.active && !wasActive {
+		c.levelBeforeTrial = c.level.value
+	}
+	if trial.refutations > refutations {
+		c.level.restore(c.levelBeforeTrial)
+	}
+}
+
 // Cancel ends a call whose caller went away before the call was sent to the
 // backend server. A waiting call is refused. For a call that has been started,
 // Cancel replaces Finish, and nothing is learned about the backend server.
@@ -273,7 +294,7 @@
 	if c.cold.isCold {
 		c.level.holdUntil = now.Add(c.cfg.Window) // the rate bounds the calls, not what the backend server can do
 	}
-	c.level.load(now, c.running, c.Limit(), c.queue.len)
+	c.level.load(now, c.running, c.Limit(), c.queue.work)
 	c.overload.advance(now, c.queue.len)
 	c.queue.setStandingOverload(c.overload.standing)
 	c.level.advance(now)
@@ -303,7 +324,7 @@
 func (c *Core) expire(now time.Time, t *Ticket) {
 	if c.cannotMeet(now, t) {
 		c.counts.Deadline++
-		c.level.shed++
+		c.level.shed += t.work
 		c.refuse(t, errDeadline)
 		return
 	}
@@ -312,7 +333,7 @@
 		return
 	}
 	c.counts.QueueTimeout++
-	c.level.shed++
+	c.level.shed += t.work
 	c.refuse(t, errQueueTimeout)
 }
 
@@ -364,14 +385,14 @@
 	c.running++
 	c.cold.record(now)
 	c.counts.Started++
-	c.level.started++
+	c.level.started += t.work
 	c.events = append(c.events, Event{Ticket: t})
 }
 
 // refuseQueueFull refuses t because the queue is full.
 func (c *Core) refuseQueueFull(t *Ticket, e *request.Error) {
 	c.counts.QueueFull++
-	c.level.shed++
+	c.level.shed += t.work
 	c.refuse(t, e)
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -109,7 +109,7 @@
 func (d *Daemon) serveMetrics(hc *fasthttp.RequestCtx) {
 	var b bytes.Buffer
 	d.metrics.set.WritePrometheus(&b)
-	g := d.gate.Report()
+	g, modes := d.gate.Report(), d.gate.Modes()
 	for _, x := range []struct {
 		name  string
 		value any
@@ -121,6 +121,9 @@
 		{"gate_cold", boolMetric(g.Cold > 0)},
 		{"gate_paced", boolMetric(d.gate.IsPaced())},
 		{"gate_cold_refused_total", d.gate.Counts().Cold},
+		{"gate_standing_overload", boolMetric(modes.StandingOverload)},
+		{"gate_calls_by_work", boolMetric(modes.CallsByWork)},
+		{"gate_sheds_ignored", boolMetric(modes.ShedsIgnored)},
 		{"backend_work_percent", g.WorkPercent},
 		{"backend_work_age_ms", g.WorkAge.Milliseconds()},
 		{"configuration_age_ms", ageMillis(d.configurationAge())},
