acceptor, sidecar: protect the listeners beside the callers' one

Cause: a failed accept (no descriptor) ended the listener and with it the process. The listeners for readiness, heartbeats and metrics had no limit on connections or on the time for a request, and took bodies of 4 MB.

Change: accepts are retried after 10 to 100 ms, logged and counted. Local listeners: head 8 KiB, body 64 KiB, 3 s for a request, 5 s for a response, idle 30 s, 8 to 64 connections, of which the one idle for longest makes room for a new one. Sessions, handshakes and connections to the backend server are bounded by maxFds (Settings.MaxDescriptors).

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -145,7 +145,7 @@
 	d.gate = backend.NewGate(backend.Config{Slots: initialSlots, MaxConnections: defaultBackendConnections}, d.now)
 	d.client = backend.NewClient(backend.ClientConfig{
 		Address:        settings.Backend,
-		MaxConnections: defaultBackendConnections,
+		MaxConnections: settings.backendConnections(),
 		DialTimeout:    backendDialTimeout,
 		IdleTimeout:    backendIdleTimeout,
 		MaxAnswerBytes: settings.answerLimit(),
@@ -155,6 +155,7 @@
 	d.control = newControl(d)
 	cfg := link.Defaults()
 	cfg.DialTimeout = peerDialTimeout
+	settings.limitLinks(&cfg)
 	cfg.Hello = &wire.Hello{
 		Instance:    d.location.Peer,
 		DataCentre:  d.location.DataCentre,
@@ -244,10 +245,12 @@
 		name, addr string
 		serve      func(net.Listener)
 	}{
-		{"heartbeats", d.settings.Listen.Heartbeats, func(l net.Listener) { d.serveHTTP(l, d.serveLocalCall) }},
-		{"readiness", d.settings.Listen.Readiness, func(l net.Listener) { d.serveHTTP(l, d.serveReadiness) }},
-		{"peers", d.settings.Listen.Peers, func(l net.Listener) { d.spawn(func() { d.reportServeError(d.links.Serve(l)) }) }},
-		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP(l, d.serveMetrics) }},
+		{"heartbeats", d.settings.Listen.Heartbeats, func(l net.Listener) { d.serveHTTP("heartbeats", l, d.serveLocalCall) }},
+		{"readiness", d.settings.Listen.Readiness, func(l net.Listener) { d.serveHTTP("readiness", l, d.serveReadiness) }},
+		{"peers", d.settings.Listen.Peers, func(l net.Listener) {
+			d.spawn(func() { d.reportServeError(d.links.Serve(d.protectListener("peers", l, 0))) })
+		}},
+		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP("metrics", l, d.serveMetrics) }},
 		{"callers", d.settings.Listen.Callers, d.serveCallers},
 	} {
 		l, err := net.Listen("tcp", x.addr)
@@ -282,14 +285,6 @@
 // Failed returns a channel that delivers errors that stopped a listener.
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
-// serveHTTP serves HTTP on a listener other than the callers' one, such as
-// readiness or metrics.
-func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) {
-	s := &fasthttp.Server{Handler: d.protectHTTP("local HTTP request", h), NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: callerIdleTimeout, Logger: quietLogger{}}
-	d.servers = append(d.servers, s)
-	d.spawn(func() { d.reportServeError(s.Serve(l)) })
-}
-
 // quietLogger discards the messages of fasthttp about broken connections. Requests
 // that reach a handler are logged by the daemon itself.
 type quietLogger struct{}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -122,6 +122,8 @@
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
 		{"request_body_bytes_held", d.heldBodyBytes.Load()},
+		{"descriptors_limit", d.settings.MaxDescriptors},
+		{"descriptors_reserved", d.settings.reservedDescriptors()}, // for connections other than those of callers
 		{"answer_bytes_held", answers.Used},
 		{"answer_bytes_limit", answers.Limit},
 		{"answer_waits_for_memory", answers.Waiting},
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -22,6 +22,9 @@
 	StoreAddress string // address of the platform's store, ip:port
 	MemoryBytes  int64  // memory limit above which the process is killed; 0 for no limit
 
+	// MaxDescriptors is the maximum number of open file descriptors; 0 for no limit.
+	MaxDescriptors int
+
 	ShutdownGrace time.Duration // from SIGTERM until the process is killed
 	KeyRevocation time.Duration // time within which a withdrawn key must stop working
 	Retries       RetryBounds
