link: bytes that wait unread are not silence

Cause: silence was measured from the last read of this process. A process without processor time for its reads took a peer for silent whose bytes had arrived, dialled it again and ended the calls in progress.

Change: before a session counts as silent, its socket is peeked. Bytes that wait unread count as received, for at most DeadTimeout.

--- a/link/checks.go
+++ b/link/checks.go
@@ -58,8 +58,16 @@
 }
 
 // receivedSince reports whether bytes arrived at or after t, in nanoseconds since
-// links.base.
-func (s *session) receivedSince(t int64) bool { return s.conn.lastRead.Load() >= t }
+// links.base. Bytes that wait unread in the socket's buffer count as arrived: this
+// process has had no processor time to read them, and a peer must not be taken for
+// silent because of that. A session from which nothing is read within DeadTimeout is
+// not excused any more.
+func (s *session) receivedSince(t int64) bool {
+	if s.conn.lastRead.Load() >= t {
+		return true
+	}
+	return s.silentFor(s.links.since()) < s.links.cfg.DeadTimeout && unread(s.conn.raw)
+}
 
 // stillSuspect reports whether the session is suspect. A session that has
 // received bytes since it became suspect is no longer so.
