--- a/ingress/request.go
+++ b/ingress/request.go
@@ -36,6 +36,7 @@
 	conn   *conn
 	uri    fasthttp.URI // scratch for checking the request's target
 	body   body
+	keep   io.Closer // closed when the request is released
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -68,6 +69,10 @@
 	if r.cancel != nil {
 		r.cancel()
 	}
+	if r.keep != nil {
+		_ = r.keep.Close()
+		r.keep = nil
+	}
 	if len(r.Header.RawHeaders()) > maxPooledFields {
 		return
 	}
@@ -122,6 +127,10 @@
 	c.mu.Unlock()
 }
 
+// CloseWhenReleased closes k when the answer has been written, or when the connection has
+// ended before that. Close must not use the request and must not block.
+func (r *Request) CloseWhenReleased(k io.Closer) { r.keep = k }
+
 // ResetResponse discards what the handler has set so far.
 func (r *Request) ResetResponse() {
 	r.Response.Reset()
--- a/sidecar/bodies.go
+++ b/sidecar/bodies.go
@@ -73,13 +73,6 @@
 	return err
 }
 
-// answersHeldError is the refusal of a request for whose answer there may be no room.
-func answersHeldError() *request.Error {
-	err := request.NewNotRunError(request.ReasonBusy, "this daemon holds too many answers for callers, try again later")
-	err.RetryAfter = shedRetryAfter
-	return err
-}
-
 // heldBytes counts the bytes of one request body towards the limit of the daemon.
 type heldBytes struct {
 	d       *Daemon
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -35,10 +35,6 @@
 	// round trip between regions and shorter than callers wait.
 	peerDialTimeout = 400 * time.Millisecond
 
-	// localIdleTimeout is how long an idle connection to a local listener, such as the
-	// one for readiness, is kept open.
-	localIdleTimeout = 90 * time.Second
-
 	// initialSlots is the concurrency limit until a heartbeat reports the number
 	// of slots.
 	initialSlots = 16
@@ -94,6 +90,7 @@
 	coldServices  coldServices
 	inFlight      atomic.Int64 // requests in progress
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
+	answers       answerAccounts
 	stopping      atomic.Bool
 	stopTimes     atomic.Pointer[stopTimes] // nil while no planned stop is in progress
 	rowsRead      atomic.Bool               // the rows of all daemons have been read from the store
@@ -124,6 +121,7 @@
 		metrics:  newMetricSet(),
 		runs:     runs{byID: make(map[string]*run)},
 		failed:   make(chan error, 8),
+		answers:  newAnswerAccounts(&settings),
 	}
 	d.log = newLogger(d.lines, settings.Instance)
 	d.confirmed.Store(notConfirmed)
@@ -134,11 +132,11 @@
 	d.gate = backend.NewGate(backend.Config{Slots: initialSlots, MaxConnections: defaultBackendConnections}, d.now)
 	d.client = backend.NewClient(backend.ClientConfig{
 		Address:        settings.Backend,
-		MaxConnections: defaultBackendConnections,
+		MaxConnections: settings.backendConnections(),
 		DialTimeout:    backendDialTimeout,
 		IdleTimeout:    backendIdleTimeout,
-		MaxAnswerBytes: settings.heldBodyLimit(),
-		MaxHeldBytes:   2 * settings.heldBodyLimit(),
+		MaxAnswerBytes: settings.answerLimit(),
+		Answers:        d.answers.gate,
 		OnEnded:        d.noteEnded,
 	})
 	d.configureColdAtStart()
@@ -147,6 +145,7 @@
 	d.callers = d.newCallerServer()
 	cfg := link.Defaults()
 	cfg.DialTimeout = peerDialTimeout
+	settings.limitLinks(&cfg)
 	cfg.Hello = &wire.Hello{
 		Instance:    d.location.Peer,
 		DataCentre:  d.location.DataCentre,
@@ -241,10 +240,12 @@
 		name, addr string
 		serve      func(net.Listener)
 	}{
-		{"heartbeats", d.settings.Listen.Heartbeats, func(l net.Listener) { d.serveHTTP(l, d.serveLocalCall) }},
-		{"readiness", d.settings.Listen.Readiness, func(l net.Listener) { d.serveHTTP(l, d.serveReadiness) }},
-		{"peers", d.settings.Listen.Peers, func(l net.Listener) { d.spawn(func() { d.reportServeError(d.links.Serve(l)) }) }},
-		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP(l, d.serveMetrics) }},
+		{"heartbeats", d.settings.Listen.Heartbeats, func(l net.Listener) { d.serveHTTP("heartbeats", l, d.serveLocalCall) }},
+		{"readiness", d.settings.Listen.Readiness, func(l net.Listener) { d.serveHTTP("readiness", l, d.serveReadiness) }},
+		{"peers", d.settings.Listen.Peers, func(l net.Listener) {
+			d.spawn(func() { d.reportServeError(d.links.Serve(d.protectListener("peers", l, 0))) })
+		}},
+		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP("metrics", l, d.serveMetrics) }},
 		{"callers", d.settings.Listen.Callers, d.serveCallers},
 	} {
 		l, err := net.Listen("tcp", x.addr)
@@ -278,14 +279,6 @@
 // Failed returns a channel that delivers errors that stopped a listener.
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
-// serveHTTP serves HTTP on a listener other than the callers' one, such as
-// readiness or metrics.
-func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) {
-	s := &fasthttp.Server{Handler: d.protectHTTP("local HTTP request", h), NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: localIdleTimeout, Logger: quietLogger{}}
-	d.servers = append(d.servers, s)
-	d.spawn(func() { d.reportServeError(s.Serve(l)) })
-}
-
 // quietLogger discards the messages of fasthttp about broken connections. Requests
 // that reach a handler are logged by the daemon itself.
 type quietLogger struct{}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -98,7 +98,8 @@
 	observe     func(*wire.AnswerHead)
 	entry       *entry
 
-	refusedForTime bool // a gate has refused it because its deadline would pass
+	held           heldAnswers // the answers of its attempts
+	refusedForTime bool        // a gate has refused it because its deadline would pass
 }
 
 // maxRetries limits the retries of one request, including those after refusals by
@@ -229,7 +230,11 @@
 // failures. The answer or refusal of the gate is in the returned head.
 func (d *Daemon) send(ctx context.Context, ep service.Endpoint, out *outgoing) (*wire.AnswerHead, *request.Error) {
 	if ep.Peer == d.settings.Listen.Peers {
-		return d.runLocally(ctx, out.call, out.head, out.body), nil
+		return d.runLocally(ctx, out.call, out.head, out.body, out.held.hold(d.answers.gate)), nil
+	}
+	held := out.held.hold(d.answers.entry)
+	if !held.TryReserve(answerReserve) {
+		return nil, answersHeldError()
 	}
 	s, err := d.links.OpenStream(ctx, ep.Peer)
 	if err != nil {
@@ -241,8 +246,9 @@
 	if err := writeCall(s, out.head, out.body); err != nil {
 		return nil, linkError(ctx, err)
 	}
-	ans, err := readAnswer(s)
+	ans, err := readAnswer(ctx, s, held)
 	if err != nil {
+		held.Release()
 		return nil, linkError(ctx, err)
 	}
 	return ans, nil
@@ -253,6 +259,9 @@
 // sent at all.
 func linkError(ctx context.Context, err error) *request.Error {
 	var notSent *link.NotSentError
+	if e := noRoomError(err); e != nil {
+		return e
+	}
 	switch {
 	case errors.As(err, &notSent):
 		e := request.NewNotRunError(request.ReasonUnreachable, "the call could not be handed over")
@@ -302,6 +311,8 @@
 	switch {
 	case fail.Reason == request.ReasonCancelled, fail.Reason == request.ReasonHomeRegion, fail.Reason == request.ReasonEvacuated:
 		return service.Abandoned // nothing was learned about the backend server
+	case transport && fail.Reason == request.ReasonBusy:
+		return service.Abandoned // for want of memory here
 	case ctx.Err() == nil && !transport && fail.Outcome == request.NotRun && fail.Reason == request.ReasonDeadline:
 		return service.Refused // its duration says nothing about the response time
 	case fail.Reason == request.ReasonDeadline, ctx.Err() != nil:
--- a/sidecar/listener.go
+++ b/sidecar/listener.go
@@ -23,14 +23,14 @@
 	// a connection within it does not meet the end of the connection.
 	idleMargin = time.Second
 
-	// reservedDescriptors is the number of descriptors that are kept for other daemons,
-	// the backend server, the store and the daemon's own listeners. Where a deployment
-	// has fewer than twice as many, it is half of them.
-	reservedDescriptors = 1024
+	// minCallerConnectionFraction is the least fraction of the descriptors that the
+	// connections of callers may take, however many others are reserved.
+	minCallerConnectionFraction = 0.25
 
 	// callerMemoryFraction is the fraction of the memory limit of the process that
-	// heads and answers of callers may take.
-	callerMemoryFraction = 1.0 / 4
+	// heads and answers of callers may take. It is less than heldAnswerFraction, so that
+	// callers that take no bytes are cut before answers wait for memory.
+	callerMemoryFraction = 3.0 / 16
 
 	// defaultCallerMemory is the limit, in bytes, of a daemon without a memory limit.
 	defaultCallerMemory = 64 << 20
@@ -67,7 +67,7 @@
 	if s.MaxDescriptors <= 0 {
 		return 0
 	}
-	return s.MaxDescriptors - min(reservedDescriptors, s.MaxDescriptors/2)
+	return max(s.MaxDescriptors-s.reservedDescriptors(), int(minCallerConnectionFraction*float64(s.MaxDescriptors)))
 }
 
 // callerMemory returns the maximum number of bytes of heads and answers that are held
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -110,6 +110,7 @@
 	var b bytes.Buffer
 	d.metrics.set.WritePrometheus(&b)
 	g, modes := d.gate.Report(), d.gate.Modes()
+	answers := d.answers.account.Stats()
 	for _, x := range []struct {
 		name  string
 		value any
@@ -130,6 +131,13 @@
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
 		{"request_body_bytes_held", d.heldBodyBytes.Load()},
+		{"descriptors_limit", d.settings.MaxDescriptors},
+		{"descriptors_reserved", d.settings.reservedDescriptors()}, // for connections other than those of callers
+		{"answer_bytes_held", answers.Used},
+		{"answer_bytes_limit", answers.Limit},
+		{"answer_waits_for_memory", answers.Waiting},
+		{"answer_waits_for_memory_total", answers.Waits},
+		{"answer_memory_refused_total", answers.Refused},
 		{"log_lines_dropped_total", d.lines.dropped.Load()},
 		{"log_routine_skipped_total", d.metrics.routine.skipped.Load()},
 		{"log_trouble_skipped_total", d.metrics.trouble.skipped.Load()},
--- a/sidecar/place_test.go
+++ b/sidecar/place_test.go
@@ -42,7 +42,7 @@
 func enqueue(t *testing.T, d *Daemon) chan *wire.AnswerHead {
 	answer := make(chan *wire.AnswerHead, 1)
 	go func() {
-		answer <- d.runLocally(t.Context(), waitingCall(), &wire.CallHead{Service: "s", Route: "view", Generation: 1, Regions: []string{"r0"}}, nil)
+		answer <- d.runLocally(t.Context(), waitingCall(), &wire.CallHead{Service: "s", Route: "view", Generation: 1, Regions: []string{"r0"}}, nil, d.answers.gate.Hold())
 	}()
 	require.Eventually(t, func() bool { return d.gate.Report().Queued == 1 }, 5*time.Second, time.Millisecond)
 	return answer
