One refusal tells that a whole data centre is evacuated

A daemon that had not heard of an evacuation yet tried the gates of the data centre one after the other, up to four for a request, and then refused it. The report of one gate now keeps its calls away from the data centre for a second. A gate that does not know the set yet refuses without reporting an evacuation, or one restarted daemon would keep calls away from all of its data centre; its refusal counts as one. Calls taken out of a queue get a Retry-After.

Tests: TestEndpointThatSaysEvacuatedIsAvoidedForAMoment, TestGateWithoutTheSetSpeaksForItselfOnly, TestEvacuationTakesWaitingCallsOutOfTheQueue: ok.

--- a/service/homes.go
+++ b/service/homes.go
@@ -13,9 +13,10 @@
 	// ejected endpoint is tried again after about this time.
 	homeRetryAfter = time.Second
 
-	// reportedEvacuationTTL is how long an endpoint that reported to be evacuated is
-	// not used. After the end of an evacuation, daemons that hear of it later than
-	// the endpoint's gate must not keep away for longer.
+	// reportedEvacuationTTL is how long the endpoints of a data centre are not used
+	// after one of its gates has reported that it is evacuated. After the end of an
+	// evacuation, daemons must not keep away for longer than it takes them to hear
+	// of it.
 	reportedEvacuationTTL = time.Second
 )
 
@@ -51,8 +52,17 @@
 // evacuated reports whether the data centre of s is evacuated, as far as this daemon
 // or, a moment ago, the endpoint's gate knows.
 func (s *state) evacuated(now int64) bool {
-	return s.endpoint.Evacuated ||
-		s.saysEvacuated.Load() && now-s.reportedAt.Load() < int64(reportedEvacuationTTL)
+	return s.endpoint.Evacuated || now < s.evacuatedUntil.Load()
+}
+
+// noteEvacuated keeps calls away from a data centre for a moment, because one of its
+// gates reported that it is evacuated. The other gates would refuse them, too.
+func (v *view) noteEvacuated(now int64, dataCentre string) {
+	for _, s := range v.byPeer {
+		if s.endpoint.DataCentre == dataCentre {
+			s.evacuatedUntil.Store(now + int64(reportedEvacuationTTL))
+		}
+	}
 }
 
 // subsetOf returns the subset of the endpoints of one locality. Evacuated endpoints
--- a/service/homes_test.go
+++ b/service/homes_test.go
@@ -108,10 +108,18 @@
 // Failure: while this daemon has not heard of an evacuation, it sends call after call to
 // a gate that refuses all; or it keeps away for long after the end of one.
 func TestEndpointThatSaysEvacuatedIsAvoidedForAMoment(t *testing.T) {
-	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 1))
+	p := newPicker(DefaultConfig(), endpoints("f1", "fukuoka", 8), endpoints("f2", "fukuoka", 1))
 	p.Observe(start, "f1:0", Observation{Result: Abandoned, Report: &Load{Evacuated: true}})
-	_, _, err := p.Pick(start, rng(), call, nil)
+	e, _, err := p.Pick(start, rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, "f2:0", e.Peer, "the other gates of the data centre would refuse, too")
+	_, _, err = p.Pick(start, rng(), call, []string{"f2:0"})
 	require.Equal(t, errEvacuated, err)
-	_, _, err = p.Pick(start.Add(reportedEvacuationTTL), rng(), call, nil)
+	p.Observe(start, "f1:1", Observation{Report: &Load{}})
+	e, _, err = p.Pick(start, rng(), call, nil)
+	require.NoError(t, err)
+	require.Equal(t, "f1:1", e.Peer, "its gate says that the evacuation has ended")
+	_, d, err := p.Pick(start.Add(reportedEvacuationTTL), rng(), call, nil)
 	require.NoError(t, err)
+	require.Equal(t, 9, d.Usable)
 }
--- a/service/observe.go
+++ b/service/observe.go
@@ -37,7 +37,9 @@
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
-	s.saysEvacuated.Store(r.Evacuated)
+	if !r.Evacuated {
+		s.evacuatedUntil.Store(0)
+	}
 }
 
 // succeed resets the counts of consecutive failures, failed dials and ejections.
--- a/service/picker.go
+++ b/service/picker.go
@@ -137,6 +137,9 @@
 	}
 	p.updateService(o, s.locality)
 	t := p.since(now)
+	if o.Report != nil && o.Report.Evacuated {
+		v.noteEvacuated(t, s.endpoint.DataCentre)
+	}
 	s.observe(t, o, &p.config, func() bool { return v.mayEject(t, p.config.EjectCap) })
 }
 
--- a/service/state.go
+++ b/service/state.go
@@ -39,9 +39,10 @@
 	excludedUntil atomic.Int64 // not used before this time, ns
 	dialsFailed   atomic.Bool  // the exclusion is due to failed dials
 	draining      atomic.Bool  // the endpoint's gate or load report said that its backend server is draining
-	saysEvacuated atomic.Bool  // the load report said that the data centre of the endpoint is evacuated
 	report        atomic.Pointer[Load]
 	reportedAt    atomic.Int64 // time of the last load report, ns
+
+	evacuatedUntil atomic.Int64 // not used before this time, as a gate of the data centre reported its evacuation, ns
 }
 
 // atomicFloat is a float64 that is read and written atomically.
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -59,6 +59,17 @@
 	return err
 }
 
+// withRetryAfter adds a Retry-After to the refusal of a call that an evacuation took out
+// of the gate's queue.
+func withRetryAfter(err *request.Error) *request.Error {
+	if err.Reason != request.ReasonEvacuated {
+		return err
+	}
+	e := *err
+	e.RetryAfter = placeRetryAfter
+	return &e
+}
+
 // countPlaceRefusal counts a refusal of checkPlace.
 func (d *Daemon) countPlaceRefusal(err *request.Error) {
 	name := homeRefusals
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -287,6 +287,9 @@
 			fail = errorOf(h)
 			if fail != nil {
 				o.Result = resultOf(ctx, fail, false)
+				if fail.Reason == request.ReasonEvacuated && !h.Evacuated {
+					o.Result = service.Refused // by a gate that does not know the set yet
+				}
 			}
 			return o
 		}
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -113,7 +113,7 @@
 	}
 	pass, err := d.gate.Enter(ctx, c, 1)
 	if err != nil {
-		return d.refusal(c, request.AsError(err))
+		return d.refusal(c, withRetryAfter(request.AsError(err)))
 	}
 	// While the call was queued, the backend server may have started to drain or the
 	// key may have been withdrawn.
@@ -283,7 +283,7 @@
 // every answer. below is the highest admission level reported to calls of the request.
 func (d *Daemon) report(h *wire.AnswerHead, below request.Priority) {
 	r := d.gate.Report()
-	r.Evacuated = d.isEvacuatedHere()
+	r.Evacuated = d.isEvacuated(d.location.DataCentre)
 	r.Draining = d.backendSnapshot.Load().state >= membership.Draining
 	r.ToAnswer(h)
 	h.WorstLevel = uint32(max(r.Level, below))
--- a/sidecar/place_test.go
+++ b/sidecar/place_test.go
@@ -10,6 +10,7 @@
 	"wisteriafold/fleet"
 	"wisteriafold/membership"
 	"wisteriafold/request"
+	"wisteriafold/service"
 	"wisteriafold/wire"
 )
 
@@ -73,6 +74,7 @@
 	require.Equal(t, wire.Outcome_OUTCOME_NOT_RUN, a.Outcome)
 	require.Equal(t, string(request.ReasonEvacuated), a.Reason)
 	require.True(t, a.Evacuated)
+	require.Positive(t, a.RetryAfterMs)
 	require.EqualValues(t, 1, d.gate.Report().InFlight, "running calls finish")
 
 	head := &wire.CallHead{Service: "s", Route: "view", Generation: 1}
@@ -81,3 +83,19 @@
 	require.Nil(t, d.checkRunnable(waitingCall(), head))
 	running.Done(backend.Result{})
 }
+
+// Failure: a gate that does not know the set yet keeps all daemons away from its whole
+// data centre, or is chosen over and over.
+func TestGateWithoutTheSetSpeaksForItselfOnly(t *testing.T) {
+	d, running := busyGate(t)
+	defer running.Done(backend.Result{})
+	d.evacuation.Store(nil)
+	a := d.runLocally(t.Context(), waitingCall(), &wire.CallHead{Service: "s", Route: "view", Generation: 1}, nil)
+	require.Equal(t, string(request.ReasonEvacuated), a.Reason)
+	require.False(t, a.Evacuated)
+	require.Equal(t, service.Refused, observation(t.Context(), 0, a, nil).Result)
+	readEvacuated(d, 2, "dc0")
+	a = d.runLocally(t.Context(), waitingCall(), &wire.CallHead{Service: "s", Route: "view", Generation: 1}, nil)
+	require.True(t, a.Evacuated)
+	require.Equal(t, service.Abandoned, observation(t.Context(), 0, a, nil).Result)
+}
