fleet: daemons that start push no empty set of evacuated data centres

The first set counted as a change, so each daemon that read the store at its start sent a message to its whole region. An empty first set is now learned by asking, as before the push.

Test: TestHigherVersionOfTheSetHolds with that case, all tests of fleet ok.

--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -40,7 +40,8 @@
 }
 
 // takeEvacuated replaces the set by one of a higher version, and reports whether the
-// data centres changed. Sets of one version can differ if the store changed during a
+// data centres changed; the first set counts as a change unless it is empty, so that
+// daemons that start do not all push an empty one. Sets of one version can differ if the store changed during a
 // read of several pages; the union holds until the next read.
 func (f *Fleet) takeEvacuated(dataCentres []string, version uint64) (changed bool) {
 	if !f.tracksEvacuated || version == 0 || version < f.evacuatedVersion {
@@ -52,7 +53,7 @@
 	}
 	slices.Sort(next)
 	next = slices.Compact(next)
-	changed = f.evacuatedVersion == 0 || !slices.Equal(next, f.evacuated)
+	changed = !slices.Equal(next, f.evacuated)
 	if changed {
 		f.evacuated = next
 	}
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -220,6 +220,7 @@
 func TestHigherVersionOfTheSetHolds(t *testing.T) {
 	w := newEvacuationSimulation(t, 1, 1)
 	f := w.daemons[0].fleet
+	require.False(t, f.takeEvacuated(nil, 3), "daemons that start push no empty set")
 	f.HandleStoreRead(time.Second, Reading{Document: []byte("1"), Version: 1, Evacuated: []string{"b", "a"}, StoreVersion: 7}, true)
 	f.HandleStoreRead(2*time.Second, Reading{Document: []byte("1"), Version: 1, StoreVersion: 6}, true)
 	f.HandleStoreRead(2*time.Second, Reading{StoreVersion: 9}, false)
