--- a/service/observe.go
+++ b/service/observe.go
@@ -43,8 +43,10 @@
 	s.report.Store(&r)
 	s.reportedAt.Store(now)
 	s.draining.Store(r.Draining)
-	s.saysEvacuated.Store(r.Evacuated)
 	s.cold.reported(now, int64(r.Cold))
+	if !r.Evacuated {
+		s.evacuatedUntil.Store(0)
+	}
 }
 
 // succeed resets the counts of consecutive failures, failed dials and ejections.
