--- a/backend/core.go
+++ b/backend/core.go
@@ -263,8 +263,9 @@
 	c.events = c.events[:0]
 	c.cold.advance(now)
 	c.pace.advance(now)
-	if c.cold.isCold {
-		c.level.holdUntil = now.Add(c.cfg.Window) // the rate bounds the calls, not what the backend server can do
+	if c.cold.isCold || c.pace.active {
+		// The level would close the entries of a route for one endpoint of many.
+		c.level.holdUntil = now.Add(c.cfg.Window)
 	}
 	c.level.load(now, c.running, c.Limit(), c.queue.len)
 	c.overload.advance(now, c.queue.len)
--- a/service/cold.go
+++ b/service/cold.go
@@ -124,7 +124,8 @@
 	return now < c.next
 }
 
-// take takes the token for a call that is about to be sent.
+// take takes the token for a call that is about to be sent. Calls beyond the share leave
+// no debt.
 func (c *coldShare) take(now int64) {
 	if !c.active.Load() || now >= c.quietAt.Load() {
 		return
@@ -132,10 +133,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now < c.until {
-		c.next = max(c.next, now) + c.interval()
+		c.next = now + c.interval()
 	}
 }
 
+// isCold reports whether the endpoint is cold.
+func (c *coldShare) isCold(now int64) bool {
+	if !c.active.Load() || now >= c.quietAt.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now < c.until
+}
+
 // interval returns the time between two tokens.
 func (c *coldShare) interval() int64 { return int64(float64(time.Second) / c.rate) }
 
--- a/service/cold_test.go
+++ b/service/cold_test.go
@@ -281,3 +281,28 @@
 	_, _, err = p.Pick(start.Add(time.Second), r, call, nil)
 	require.NoError(t, err)
 }
+
+// The answers of a cold endpoint contain the wait at its gate, up to half a second.
+func TestEndpointIsNotLeftIdleAfterItsColdness(t *testing.T) {
+	p, r := NewPicker(start, DefaultConfig(), here, 1), rng()
+	eps := endpoints("f1", "fukuoka", 2)
+	for i := range eps {
+		eps[i].ColdShare = 5
+	}
+	p.SetEndpoints(eps)
+	toCold := 0
+	for ms := range 4000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		ep, _, err := p.Pick(now, r, call, nil)
+		require.NoError(t, err)
+		p.Begin(ep.Peer)
+		o := Observation{Result: Succeeded, Duration: 5 * time.Millisecond, Report: &Load{Limit: 10}}
+		if ep.Peer == coldPeer && ms < 3000 {
+			o.Duration, o.Report.Cold = 500*time.Millisecond, time.Duration(3000-ms)*time.Millisecond
+		} else if ep.Peer == coldPeer {
+			toCold++
+		}
+		p.Observe(now, ep.Peer, o)
+	}
+	require.Greater(t, toCold, 250, "got less than half of an even share of 1000 calls")
+}
--- a/service/observe.go
+++ b/service/observe.go
@@ -12,6 +12,11 @@
 	}
 	switch o.Result {
 	case Succeeded:
+		if s.cold.isCold(now) {
+			// The time contains the wait for the rate at the gate. Averaged, it would
+			// keep calls away for seconds after the coldness.
+			o.Duration = 0
+		}
 		s.succeed(now, o.Duration, c)
 	case Failed:
 		s.fail(now, c, mayEject)
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -37,6 +37,8 @@
 type Run struct {
 	ID, Method, Target, Body            string
 	Organisation, Caller, Key, Deadline string
+
+	At time.Time // when it was received
 }
 
 // Endpoint is one running backend server. It is safe for concurrent use.
@@ -55,6 +57,7 @@
 	running   int
 	abandoned atomic.Int64 // requests whose caller closed the connection during the service time
 	failing   atomic.Bool  // whether every run fails
+	coldUntil atomic.Int64 // Unix ms; 0 when it is not cold
 }
 
 // New returns a backend server that listens on a free loopback address. It sends
@@ -116,6 +119,14 @@
 // SetGrey makes every run fail while health checks still succeed, or ends that.
 func (e *Endpoint) SetGrey(on bool) { e.failing.Store(on) }
 
+// SetCold makes the backend server say that it is cold for some time.
+func (e *Endpoint) SetCold(d time.Duration) { e.coldUntil.Store(time.Now().Add(d).UnixMilli()) }
+
+// coldRemaining returns how much longer it is cold, in milliseconds.
+func (e *Endpoint) coldRemaining() int64 {
+	return max(0, e.coldUntil.Load()-time.Now().UnixMilli())
+}
+
 // Drain sends a heartbeat with the state draining and reports whether it was
 // acknowledged.
 func (e *Endpoint) Drain() bool {
@@ -135,7 +146,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": e.cfg.Service, "address": e.Address(), "zone": "z", "version": "v1", "slots": e.cfg.Slots,
-		"state": state, "coldRemainingMs": 0, "sequence": e.sequence, "born": e.startedMs,
+		"state": state, "coldRemainingMs": e.coldRemaining(), "sequence": e.sequence, "born": e.startedMs,
 	})
 	e.mu.Unlock()
 	if err != nil {
@@ -164,6 +175,9 @@
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", e.cfg.ID)
+	if e.coldUntil.Load() > 0 {
+		w.Header().Set("X-Cold-Remaining-Ms", strconv.FormatInt(e.coldRemaining(), 10))
+	}
 	if r.URL.Path == "/health" {
 		e.health(w)
 		return
@@ -189,6 +203,7 @@
 		ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body),
 		Organisation: r.Header.Get("X-Tenant"), Caller: r.Header.Get("X-Caller-Service"),
 		Key: r.Header.Get("X-Credential"), Deadline: r.Header.Get("X-Deadline-Ms"),
+		At: time.Now(),
 	})
 	e.mu.Unlock()
 	e.work(w, r, id)
