--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -159,3 +159,18 @@
 	late.control.configureCold()
 	require.Equal(t, uint32(2), late.gate.Report().Limit, "the configuration came after the heartbeat")
 }
+
+// Failure: a daemon that has restarted sends calls at full rate before it has read the
+// configuration.
+func TestBoundHoldsBeforeAConfigurationIsRead(t *testing.T) {
+	d, err := New(Settings{Listen: Listen{Peers: "10.0.0.1:7000"}, Service: "s", ColdSlack: 8}, Options{Dialect: coldDialect{}, Store: unusedStore{}})
+	require.NoError(t, err)
+	call := &request.Call{Importance: request.Normal, Deadline: time.Now().Add(100 * time.Millisecond)}
+	_, err = d.gate.Enter(t.Context(), call, 1)
+	require.Equal(t, request.ReasonCold, request.AsError(err).Reason, "the allowance of the first second is empty")
+	beat(d, "b", 100, 1, 0)
+	require.False(t, d.gate.ColdState().Cold)
+	d.table.Store(routing.NewTable(&routing.Configuration{Generation: 1, Services: []routing.Service{{Name: "s"}}}, rand.New(rand.NewPCG(1, 2))))
+	d.control.configureCold()
+	require.False(t, d.gate.ColdOn(), "the bound stays on although the configuration gives no rate")
+}
