--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -31,6 +31,7 @@
 
 var (
 	errWouldBlock = errors.New("nothing to read yet, wait for the socket")
+	errNoRoom     = errors.New("no more requests are read now, wait for answers to leave")
 	errHeadSize   = errors.New("head over the limit, send fewer or shorter fields")
 	errEmptyLines = errors.New("too many empty lines before a request, send none")
 
@@ -125,7 +126,7 @@
 		if r := c.bodyTurnLocked(); r != nil {
 			c.startLocked(r)
 			c.bodyReading = true
-			go c.run(r)
+			c.s.start(c, r)
 		}
 		c.parked = c.bodyReading || c.left || c.raw == nil
 		parked := c.parked
@@ -187,6 +188,9 @@
 // tryWatch reports whether watch should end. When it returns false it is called again
 // after the next event of the socket.
 func (c *conn) tryWatch(fd uintptr) bool {
+	if c.watchEnds() { // saves the system call; the next read will see a caller that left
+		return true
+	}
 	p := pollPeer(fd)
 	if p.left {
 		c.callerLeft()
@@ -194,7 +198,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.left || c.roomLocked() || c.bodyTurnLocked() != nil {
+	if c.watchEndsLocked() {
 		return true
 	}
 	c.watching = true
@@ -202,6 +206,16 @@
 	return false
 }
 
+func (c *conn) watchEnds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watchEndsLocked()
+}
+
+func (c *conn) watchEndsLocked() bool {
+	return c.closing || c.left || c.roomLocked() || c.bodyTurnLocked() != nil
+}
+
 // wakeLocked lets the reader check again whether it may go on. Without unread bytes it
 // is left asleep: the next bytes will wake it.
 func (c *conn) wakeLocked() {
@@ -235,13 +249,22 @@
 		return true
 	}
 	c.dropReader()
-	c.callerLeft()
+	if c.readErr != errNoRoom { //nolint:errorlint // it is never wrapped
+		c.callerLeft()
+	}
 	return false
 }
 
 // tryFirst fills a buffer from the socket. It returns false when there is nothing to
 // read yet.
 func (c *conn) tryFirst(fd uintptr) bool {
+	c.mu.Lock()
+	room := c.roomLocked()
+	c.mu.Unlock()
+	if !room { // an answer has become ready behind a slow one
+		c.readErr = errNoRoom
+		return true
+	}
 	br := c.s.readers.get(c)
 	c.direct, c.directFD = true, fd
 	_, err := br.Peek(1)
@@ -427,7 +450,7 @@
 		}
 		c.mu.Unlock()
 		return
-	case errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
+	case err == io.EOF || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET): //nolint:errorlint // fasthttp returns it as it is when there were line ends only
 		r.release()
 		c.callerLeft()
 		return
--- a/ingress/order.go
+++ b/ingress/order.go
@@ -29,7 +29,7 @@
 	next := c.nextLocked()
 	c.mu.Unlock()
 	if next != nil {
-		go c.run(next)
+		c.s.start(c, next)
 	}
 }
 
@@ -81,7 +81,7 @@
 	}()
 	if r.Body != nil || !r.overlaps {
 		if err := c.beginBody(r); err != nil {
-			r.body.failed = true
+			r.rejected = true
 			if isTimeout(err) {
 				r.setError(fasthttp.StatusRequestTimeout, "Request timeout")
 			} else {
@@ -101,7 +101,7 @@
 	r.state, r.admitted = done, true
 	c.countLocked(r, true)
 	c.holdLocked(r, int64(len(r.Response.Body())))
-	r.closes = r.closes || r.Response.ConnectionClose() || r.Body != nil && (r.body.failed || r.body.overflows())
+	r.closes = r.closes || r.rejected || r.Response.ConnectionClose() || r.Body != nil && (r.body.failed || r.body.overflows())
 	if r.closes {
 		c.dropBehindLocked(r)
 	}
@@ -266,7 +266,7 @@
 	case !r.Header.IsHTTP11():
 		resp.Header.Set(fasthttp.HeaderConnection, "keep-alive")
 	}
-	resp.SkipBody = resp.SkipBody || r.Header.IsHead()
+	resp.SkipBody = resp.SkipBody || r.Header.IsHead() && !r.rejected // as fasthttp.Server does
 	c.writeSince.Store(c.s.now())
 	defer c.writeSince.Store(0)
 	return c.s.writers.write(c.nc, resp)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -46,7 +46,7 @@
 	closes      bool  // the connection ends with this answer
 	closeIfLast bool  // the connection ends with this answer if no later request has started
 	counted     bool  // counts as waiting, see Server.Waiting
-	rejected    bool  // the answer to a head that cannot be used
+	rejected    bool  // the answer is to a head or a body that cannot be used
 	held        int64 // bytes that the account holds for it
 }
 
@@ -104,7 +104,7 @@
 	next := c.nextLocked()
 	c.mu.Unlock()
 	if next != nil {
-		go c.run(next)
+		c.s.start(c, next)
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -83,6 +83,7 @@
 	epoch   time.Time
 	readers readers
 	writers writers
+	workers workers
 	stats   counters
 	held    atomic.Int64 // bytes held for callers
 	waiting atomic.Int64 // see Waiting
@@ -134,8 +135,12 @@
 // Serve accepts connections until the listener is closed. Failed accepts do not end it.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
+	closed := s.closed
 	s.listeners = append(s.listeners, ln)
 	s.mu.Unlock()
+	if closed {
+		return ln.Close()
+	}
 	stop := make(chan struct{})
 	var sweeper sync.WaitGroup
 	sweeper.Go(func() { s.sweepUntil(stop) })
@@ -293,6 +298,7 @@
 			}
 		}
 	}
+	s.workers.trim(now - int64(workerIdle))
 	s.relieve()
 }
 
@@ -321,6 +327,7 @@
 		c.cut()
 	}
 	s.wg.Wait()
+	s.workers.close()
 }
 
 // Waiting returns the number of requests that were read and whose handler does not run:
