memaccount: small reservations overtake larger ones that wait

Cause: with strict order of arrival, one long answer that waits for room makes every new request be refused and every ordinary answer wait.

Change: reservations of up to 1/64 of their part do not queue behind larger ones.

--- a/memaccount/account.go
+++ b/memaccount/account.go
@@ -119,8 +119,7 @@
 	return h.part.limit
 }
 
-// TryReserve adds n bytes to the holding and reports whether there was room. It does
-// not overtake reservations that wait.
+// TryReserve adds n bytes to the holding and reports whether there was room.
 func (h *Holding) TryReserve(n int64) bool {
 	if h == nil || h.part == nil || n <= 0 {
 		return true
@@ -128,7 +127,7 @@
 	a := h.part.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(h.part.waiting) > 0 || !h.part.fits(n) {
+	if !h.part.passes(n) || !h.part.fits(n) {
 		a.refused++
 		return false
 	}
@@ -163,7 +162,7 @@
 		a.refused++
 		return nil, ErrTooLarge
 	}
-	if len(h.part.waiting) == 0 && h.part.fits(n) {
+	if h.part.passes(n) && h.part.fits(n) {
 		h.add(n)
 		return nil, nil
 	}
@@ -217,6 +216,16 @@
 	return p.used+n <= p.limit && p.account.used+n <= p.account.limit
 }
 
+// smallFraction is the fraction of a part up to which a reservation is small. Small
+// reservations overtake larger ones that wait, so that one long answer does not hold up
+// the ordinary ones.
+const smallFraction = 64
+
+func (p *Part) small(n int64) bool { return n <= p.limit/smallFraction }
+
+// passes reports whether a new reservation need not queue behind those that wait.
+func (p *Part) passes(n int64) bool { return len(p.waiting) == 0 || p.small(n) }
+
 // remove takes a waiter out of its queue and ends its wait.
 func (a *Account) remove(w *waiter, err error) {
 	p := w.holding.part
@@ -232,12 +241,16 @@
 }
 
 // grant grants the reservations for which there is room, in order of arrival within
-// each part. When nobody is left that could release memory, the newest holder that
+// each part, small ones also behind a larger one that has to wait. When nobody is left that could release memory, the newest holder that
 // waits gives up.
 func (a *Account) grant() {
 	for _, p := range a.parts {
-		for len(p.waiting) > 0 && p.fits(p.waiting[0].n) {
-			w := p.waiting[0]
+		blocked := false // a larger reservation has to wait
+		for _, w := range slices.Clone(p.waiting) {
+			if !p.fits(w.n) || blocked && !p.small(w.n) {
+				blocked = true
+				continue
+			}
 			a.remove(w, nil)
 			w.holding.add(w.n)
 		}
--- a/memaccount/account_test.go
+++ b/memaccount/account_test.go
@@ -103,6 +103,29 @@
 	})
 }
 
+// Failure: one long answer that waits for room holds up all ordinary ones.
+func TestSmallReservationsOvertakeLargerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memaccount.New(6400).Part(6400)
+		first, large, small := p.Hold(), p.Hold(), p.Hold()
+		require.True(t, first.TryReserve(6200))
+		granted := make(chan error, 2)
+		go func() { granted <- large.Reserve(t.Context(), 1000) }()
+		synctest.Wait()
+		require.True(t, small.TryReserve(100))
+		require.NoError(t, small.Reserve(t.Context(), 100))
+		go func() { granted <- small.Reserve(t.Context(), 100) }()
+		synctest.Wait()
+		first.Trim(6100)
+		require.NoError(t, <-granted)
+		require.EqualValues(t, 300, small.Bytes())
+		require.Zero(t, large.Bytes())
+		first.Release()
+		require.NoError(t, <-granted)
+		require.EqualValues(t, 1300, p.Used())
+	})
+}
+
 // Failure: holders that grow step by step wait for each other until their deadlines.
 func TestHoldersThatWaitForEachOtherGiveUpOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
