sidecar: a planned stop waits for answers that are being written

Change: the requests whose answers are being written count as well, until the HTTP server closes their user values, at most until requests are aborted.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -101,6 +101,7 @@
 	control         *control
 
 	inFlight      atomic.Int64 // requests in progress
+	unwritten     atomic.Int64 // requests whose answers are being written to their callers
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	answers       answerAccounts
 	stopping      atomic.Bool
--- a/sidecar/held.go
+++ b/sidecar/held.go
@@ -48,21 +48,28 @@
 
 // heldAnswers are the holdings of the answers of one request, of which there are
 // several after retries.
-type heldAnswers []*memaccount.Holding
+type heldAnswers struct {
+	holdings []*memaccount.Holding
+	ended    func() // called once by Close, nil for none
+}
 
 // hold returns a further holding of the request.
 func (h *heldAnswers) hold(p *memaccount.Part) *memaccount.Holding {
 	x := p.Hold()
-	*h = append(*h, x)
+	h.holdings = append(h.holdings, x)
 	return x
 }
 
 // Close releases what is held. It implements io.Closer.
 func (h *heldAnswers) Close() error {
-	for _, x := range *h {
+	for _, x := range h.holdings {
 		x.Release()
 	}
-	*h = nil
+	h.holdings = nil
+	if h.ended != nil {
+		h.ended()
+		h.ended = nil
+	}
 	return nil
 }
 
@@ -72,8 +79,13 @@
 type answerHeldKey struct{}
 
 // holdUntilWritten keeps what is held for the answer until it has been written to the
-// caller.
-func (e *entry) holdUntilWritten(h *heldAnswers) { e.http.SetUserValue(answerHeldKey{}, h) }
+// caller. A planned stop waits for it.
+func (e *entry) holdUntilWritten(h *heldAnswers) {
+	d := e.d
+	d.unwritten.Add(1)
+	h.ended = func() { d.unwritten.Add(-1) }
+	e.http.SetUserValue(answerHeldKey{}, h)
+}
 
 // answersHeldError returns the refusal of a call for whose answer there is no room.
 func answersHeldError() *request.Error {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -122,6 +122,7 @@
 		{"members", len(*d.members.Load())},
 		{"requests_in_flight", d.inFlight.Load()},
 		{"request_body_bytes_held", d.heldBodyBytes.Load()},
+		{"answers_being_written", d.unwritten.Load()},
 		{"descriptors_limit", d.settings.MaxDescriptors},
 		{"descriptors_reserved", d.settings.reservedDescriptors()}, // for connections other than those of callers
 		{"answer_bytes_held", answers.Used},
--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -83,7 +83,7 @@
 		d.stopTimes.Store(&early)
 		d.awaitIdle(ctx, &early) // requests that were taken in the meantime
 	}
-	d.log.Info("stopped", "cut", d.inFlight.Load(), "took_ms", d.now().Sub(times.start).Milliseconds())
+	d.log.Info("stopped", "cut", d.inFlight.Load()+d.unwritten.Load(), "took_ms", d.now().Sub(times.start).Milliseconds())
 	d.Close()
 }
 
@@ -128,15 +128,15 @@
 	return deadline
 }
 
-// awaitIdle waits until no request has been in progress for quietPeriod and new
-// requests are refused. It does not wait for the latter when the backend server is
+// awaitIdle waits until no request has been in progress, and no answer was being written,
+// for quietPeriod and new requests are refused. It does not wait for the latter when the backend server is
 // gone, and returns when ctx ends.
 func (d *Daemon) awaitIdle(ctx context.Context, times *stopTimes) {
 	lastBusy := d.now()
 	for ctx.Err() == nil {
 		time.Sleep(idlePollInterval)
 		now := d.now()
-		if d.inFlight.Load() > 0 {
+		if d.inFlight.Load() > 0 || d.unwritten.Load() > 0 {
 			lastBusy = now
 		}
 		backendGone := d.backendSnapshot.Load().state == membership.Gone && now.Sub(times.start) > quietPeriod
--- a/sidecar/untrusted/crowd_test.go
+++ b/sidecar/untrusted/crowd_test.go
@@ -60,6 +60,7 @@
 // options vary a deployment.
 type options struct {
 	longBackend      string // address that the requests of route "long" go to; empty for a backend server with long answers
+	longAnswerBytes  int    // size of the long answers; 0 for the usual one
 	limitDescriptors bool
 }
 
@@ -67,9 +68,12 @@
 	store := rowstore.New()
 	t.Cleanup(store.Close)
 	store.Put("op", "config", document())
+	if o.longAnswerBytes == 0 {
+		o.longAnswerBytes = longAnswerBytes
+	}
 	var out [2]*process
 	for i, cfg := range []endpoint.Config{
-		{ID: "i-long", Service: "long", Body: strings.Repeat("x", longAnswerBytes)},
+		{ID: "i-long", Service: "long", Body: strings.Repeat("x", o.longAnswerBytes)},
 		{ID: "i-short", Service: "short"},
 	} {
 		cfg.Slots, cfg.Heartbeat = slots, heartbeat
--- a/sidecar/untrusted/process_test.go
+++ b/sidecar/untrusted/process_test.go
@@ -21,6 +21,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	// Imported so that cached results of the tests end when the daemon changes.
+	_ "wisteriafold/platform/host"
+	_ "wisteriafold/sidecar"
 )
 
 // Limits of the settings of every daemon, and the bounds of the tests.
