--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -129,8 +129,8 @@
 	return deadline
 }
 
-// awaitIdle waits until no request has been in progress for quietPeriod and new
-// requests are refused. It does not wait for the latter when the backend server is
+// awaitIdle waits until no request has been in progress, and no answer was being written,
+// for quietPeriod and new requests are refused. It does not wait for the latter when the backend server is
 // gone, and returns when ctx ends.
 func (d *Daemon) awaitIdle(ctx context.Context, times *stopTimes) {
 	lastBusy := d.now()
