request: the rank of a route orders trees within the class of their organisation

An organisation's rank overrides that of the routes, so that requests of its important and its least important routes are in one class and are refused alike. The priority of a tree within its class now also depends on its route, but only where the organisation's rank differs from the route's: the hash is squared for a route below the class, and its root is taken for one above it. All gates and entries order by the result.

--- a/backend/chain_test.go
+++ b/backend/chain_test.go
@@ -25,6 +25,7 @@
 	burst         float64 // factor of the direct arrivals in the burst
 	shed          float64 // part of the calls that S4 sheds after the burst
 	ranked        bool    // organisations have a rank, which overrides that of the routes
+	skew          bool    // the rank of the routes orders trees within the class
 
 	now     time.Time
 	start   time.Time
@@ -268,6 +269,9 @@
 	s.sent++
 	e := d.entry[route]
 	call := request.Call{Tree: request.Tree(c.r.Uint64()), Organisation: fmt.Sprint("o", c.r.IntN(4)), Route: route, Importance: c.importance(route), Idempotent: true}
+	if c.skew {
+		call.Tree = call.Tree.WithRouteImportance(map[string]request.Importance{"page": request.High, "direct": request.Sheddable}[route], call.Importance)
+	}
 	if !e.Admit(c.now, &call, 1) {
 		s.refused++
 		return
@@ -450,3 +454,16 @@
 	_, direct, _ := c.part("burst", "direct")
 	require.Less(t, page, 1.2*direct)
 }
+
+// Pattern: organisations have ranks, so that important trees and a burst of the least
+// important route are in one class. A tree needs room four times, and the burst is served
+// better than the trees.
+func TestRankOfRouteProtectsTreesWithinTheClassOfTheirOrganisation(t *testing.T) {
+	c := newChain()
+	c.ranked, c.skew, c.shed = true, true, 0
+	runChain(t, c)
+	page, _, _ := c.part("burst", "page")
+	direct, _, _ := c.part("burst", "direct")
+	require.Greater(t, page, 0.88)
+	require.Greater(t, direct, 0.25*page, "no kind of request is shut out")
+}
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -108,6 +108,8 @@
 	if e.parent != nil {
 		e.call.Importance = max(e.call.Importance, e.parent.importance)
 		e.call.Tree = e.parent.tree
+	} else {
+		e.call.Tree = e.call.Tree.WithRouteImportance(importanceOf(e.match.Rank), e.call.Importance)
 	}
 	e.call.WorkSpent = e.call.Organisation == "" && e.table.Authenticates
 	if err := e.refuseWhileStopping(e.startedAt); err != nil {
--- a/sidecar/tree_test.go
+++ b/sidecar/tree_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,3 +65,15 @@
 		require.GreaterOrEqual(t, times.finishBy.Sub(times.start), grace*5/6, grace)
 	}
 }
+
+// Failure: gates order a tree whose route is below its class otherwise than its entry.
+func TestTreeMovedByItsRouteReachesOtherDaemons(t *testing.T) {
+	for _, route := range []request.Importance{request.Sheddable, request.Normal, request.Critical} {
+		for i := range 3000 {
+			call := &request.Call{ID: fmt.Sprint(i), Importance: request.Normal}
+			call.Tree = treeOf(call.ID).WithRouteImportance(route, call.Importance)
+			received := treeFromWire(&wire.CallHead{RequestId: call.ID, Tree: treeToWire(call)})
+			require.Equal(t, call.Priority(), request.PriorityOf(request.Normal, received))
+		}
+	}
+}
