sidecar: callers refused for overload do not come back together

Refusals for overload told every caller the same time to come back, 0.2 s at an entry. The times are now spread between that and twice of it by the hash of the request. The times of rate limits and of other refusals are as before.

--- a/sidecar/respond.go
+++ b/sidecar/respond.go
@@ -81,7 +81,7 @@
 		resp.Header.Set(e.d.names.AttemptID, e.call.ID)
 	}
 	if err.Outcome == request.NotRun && err.RetryAfter > 0 {
-		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfterOf(err, e.call).Seconds(), 'f', 3, 64))
 	}
 	resp.SetBodyString(string(err.Reason) + ": " + err.Remedy + "\n")
 	e.finish(err.Outcome.String(), string(err.Reason), status)
