--- a/ingress/account.go
+++ b/ingress/account.go
@@ -16,9 +16,9 @@
 
 // Full reports whether so many bytes are held for callers that new requests must be
 // refused.
-func (s *Server) Full() bool {
-	return float64(s.held.Load()) >= refuseFraction*float64(s.opt.Limits().HeldBytes)
-}
+func (s *Server) Full() bool { return s.held.Load() >= refuseLevel(s.opt.Limits().HeldBytes) }
+
+func refuseLevel(limit int64) int64 { return int64(refuseFraction * float64(limit)) }
 
 // holder is a connection for which bytes are held.
 type holder struct {
@@ -35,8 +35,8 @@
 	largest        // the largest holder
 )
 
-// chooseVictim returns the index of the connection that is cut when the holders have
-// more than limit bytes together.
+// chooseVictim returns the index of the connection that is cut: a reader without
+// progress while new requests are refused, any other only above the limit.
 func chooseVictim(holders []holder, limit int64) (i int, why choice) {
 	total, slow, big := int64(0), -1, -1
 	for i, h := range holders {
@@ -52,22 +52,24 @@
 		}
 	}
 	switch {
-	case total <= limit:
-		return -1, nobody
+	case total < refuseLevel(limit):
 	case slow >= 0:
 		return slow, stalled
-	case big >= 0 && holders[big].bytes > limit/int64(len(holders)):
+	case total > limit && holders[big].bytes > limit/int64(len(holders)):
 		return big, largest
 	}
 	return -1, nobody
 }
 
-// relieve cuts callers while more bytes are held than the limit allows.
-func (s *Server) relieve() {
-	limit := s.opt.Limits().HeldBytes
-	if s.held.Load() <= limit {
-		return
+// relieveAboveLimit cuts callers if more bytes are held than the limit allows.
+func (s *Server) relieveAboveLimit() {
+	if limit := s.opt.Limits().HeldBytes; s.held.Load() > limit {
+		s.relieve(limit)
 	}
+}
+
+// relieve cuts callers as chooseVictim says.
+func (s *Server) relieve(limit int64) {
 	s.relieving.Lock()
 	defer s.relieving.Unlock()
 	now := s.now()
--- a/ingress/limits_test.go
+++ b/ingress/limits_test.go
@@ -247,7 +247,9 @@
 		limit   int64
 		want    int
 	}{
-		{[]int64{60, 40}, []time.Duration{9 * s, 9 * s}, 100, -1},
+		{[]int64{50, 24}, []time.Duration{9 * s, 9 * s}, 100, -1},
+		{[]int64{25, 50}, []time.Duration{2 * s, 0}, 100, 0},
+		{[]int64{50, 50}, []time.Duration{0, 0}, 100, -1},
 		{[]int64{10, 20, 80}, []time.Duration{9 * s, 2 * s, 0}, 100, 0},
 		{[]int64{0, 20, 81}, []time.Duration{9 * s, 2 * s, 0}, 100, 1},
 		{[]int64{30, 20, 60}, []time.Duration{0, 999 * ms, 0}, 100, 2},
--- a/ingress/order.go
+++ b/ingress/order.go
@@ -114,7 +114,7 @@
 	}
 	next := c.nextLocked()
 	c.mu.Unlock()
-	c.s.relieve()
+	c.s.relieveAboveLimit()
 	return next
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -299,7 +299,9 @@
 		}
 	}
 	s.workers.trim(now - int64(workerIdle))
-	s.relieve()
+	if s.held.Load() >= refuseLevel(l.HeldBytes) {
+		s.relieve(l.HeldBytes)
+	}
 }
 
 // observeProgress notes whether the caller has taken bytes since the last call.
--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -38,8 +38,8 @@
 	token      token
 	held       heldBytes // bytes of the body, until the request ends
 	routeState *routeState
-	parent     *run // request running on the local backend server that made this call, nil when unknown
-	startedAt  time.Time
+	parent     *run      // request running on the local backend server that made this call, nil when unknown
+	startedAt  time.Time // when its head was read
 }
 
 // serveCaller handles requests on the callers' listener.
@@ -74,6 +74,7 @@
 // run.
 func (e *entry) admit() *request.Error {
 	d, h := e.d, &e.http.Header
+	now := d.now() // later than startedAt when the request waited for earlier ones
 	if e.table == nil {
 		return notReady("no configuration has been read yet, wait for the store")
 	}
@@ -100,7 +101,7 @@
 		Deadline:   d.finishableDeadline(e.answerBy),
 		Allowance:  uint32(e.match.MaxAttempts - 1),
 	}
-	e.call.Remaining = e.call.Deadline.Sub(e.startedAt)
+	e.call.Remaining = e.call.Deadline.Sub(now)
 	if err := e.authenticate(); err != nil {
 		return err
 	}
@@ -111,12 +112,12 @@
 		e.call.Tree = e.parent.tree
 	}
 	e.call.WorkSpent = e.call.Organisation == "" && e.table.Authenticates
-	if err := e.refuseWhileStopping(e.startedAt); err != nil {
+	if err := e.refuseWhileStopping(now); err != nil {
 		return err
 	}
 	e.routeState = d.routeStateOf(e.match.Name)
 	e.call.AnswerBytes = e.routeState.answerBytes.Load()
-	if !e.call.WorkSpent && !e.routeState.Admit(e.startedAt, e.call, 1) {
+	if !e.call.WorkSpent && !e.routeState.Admit(now, e.call, 1) {
 		err := request.NewNotRunError(request.ReasonShedEntry, "a service on this route is overloaded, try again later")
 		err.RetryAfter = shedRetryAfter
 		return err
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"time"
+
+	"wisteriafold/ingress"
 )
 
 // NewLineWriterForTest returns the writer of log lines.
@@ -17,6 +19,9 @@
 	return a.allow
 }
 
+// CallerLimitsForTest returns the limits on the connections of callers.
+func (d *Daemon) CallerLimitsForTest() ingress.Limits { return d.callerLimits() }
+
 // MarkDirectoryCompleteForTest marks the directory of the daemon as complete.
 func (d *Daemon) MarkDirectoryCompleteForTest() { d.rowsRead.Store(true) }
 
--- a/sidecar/listener.go
+++ b/sidecar/listener.go
@@ -19,6 +19,10 @@
 	defaultHeaderTimeout = 30 * time.Second
 	defaultIdleTimeout   = 90 * time.Second
 
+	// maxHeaderBytes is the largest limit of a configuration that is in force. Each
+	// connection whose head is being read has a buffer of that size.
+	maxHeaderBytes = 1 << 20
+
 	// idleMargin is added to the configuration's idle time, so that a caller that uses
 	// a connection within it does not meet the end of the connection.
 	idleMargin = time.Second
@@ -50,7 +54,7 @@
 		return l
 	}
 	if t.MaxHeaderBytes > 0 {
-		l.HeaderBytes = t.MaxHeaderBytes
+		l.HeaderBytes = min(t.MaxHeaderBytes, maxHeaderBytes)
 	}
 	if t.HeaderTimeout > 0 {
 		l.HeaderTimeout = t.HeaderTimeout
