--- a/sidecar/listeners.go
+++ b/sidecar/listeners.go
@@ -14,7 +14,7 @@
 // Limits of the listeners for readiness, heartbeats and metrics.
 const (
 	localHeadBytes    = 8 << 10          // request line and header fields
-	localBodyBytes    = 64 << 10         // heartbeats are a few hundred bytes
+	localBodyBytes    = 128 << 10        // heartbeats are a few hundred bytes
 	localReadTimeout  = 3 * time.Second  // for a whole request, from its first byte
 	localWriteTimeout = 5 * time.Second  // for a whole response
 	localIdleTimeout  = 30 * time.Second // heartbeats and checks come every second or two
