sidecar: answers of the local backend server for own callers use the whole account

Change: the smaller part is for answers to other daemons only, where two daemons could wait for each other.

--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -217,7 +217,7 @@
 // failures. The answer or refusal of the gate is in the returned head.
 func (d *Daemon) send(ctx context.Context, ep service.Endpoint, out *outgoing) (*wire.AnswerHead, *request.Error) {
 	if ep.Peer == d.settings.Listen.Peers {
-		return d.runLocally(ctx, out.call, out.head, out.body, out.held.hold(d.answers.gate)), nil
+		return d.runLocally(ctx, out.call, out.head, out.body, out.held.hold(d.answers.entry)), nil
 	}
 	held := out.held.hold(d.answers.entry)
 	if !held.TryReserve(answerReserve) {
--- a/sidecar/held.go
+++ b/sidecar/held.go
@@ -28,12 +28,13 @@
 type answerAccounts struct {
 	account *memaccount.Account
 
-	// entry is for answers that callers wait for. It may take the whole account.
+	// entry is for answers to callers of this daemon, from the local backend server or
+	// from other daemons. It may take the whole account.
 	entry *memaccount.Part
 
-	// gate is for answers of the local backend server until the caller or the asking
-	// daemon has them. It is limited to a part of the account: two daemons whose accounts
-	// were filled by answers for each other could never hand them on.
+	// gate is for answers to other daemons, until they have them. It is limited to a part
+	// of the account: two daemons whose accounts were filled by answers for each other
+	// could never hand them on.
 	gate *memaccount.Part
 }
 
