sidecar: coldness told by a heartbeat is announced

Cause: hearHeartbeat updated the announced end of the coldness and dropped the result, so publishColdness found nothing to announce. A heartbeat that changes only the coldness (a warm backend server becomes cold, or a cold one warm) did not reach other daemons. Change: handleHeartbeat announces the entry in that case. Result: TestColdnessInAHeartbeatIsAnnounced failed before (ColdUntil 0, want 3 s ahead) and passes; the tests of package sidecar named Cold or Heartbeat pass.

--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -152,15 +152,16 @@
 	return until
 }
 
-// hearHeartbeat passes the coldness in a heartbeat to the gate.
-func (c *control) hearHeartbeat(h membership.Heartbeat, restarted bool) {
+// hearHeartbeat passes the coldness in a heartbeat to the gate. It reports whether the
+// coldness in this daemon's entry must be announced.
+func (c *control) hearHeartbeat(h membership.Heartbeat, restarted bool) bool {
 	if h.State == membership.Ready && h.StartMs > c.cold.pacedBorn {
 		c.cold.pacedBorn = h.StartMs
 		c.beginPace(time.UnixMilli(h.StartMs))
 	}
 	switch {
 	case h.State == membership.Gone:
-		return
+		return false
 	case !h.ColdUnknown:
 		c.cold.told, c.cold.until = true, c.d.now().Add(h.Cold)
 		c.d.gate.HearCold(backend.ColdWord{Source: backend.ColdHeartbeat, Remaining: h.Cold, NewIncarnation: restarted})
@@ -168,7 +169,7 @@
 		c.cold.told = false
 		c.d.gate.SuspectCold(backend.ColdHeartbeat)
 	}
-	c.updateAnnouncedCold()
+	return c.updateAnnouncedCold()
 }
 
 // beginPace makes the limit of the gate start low if the backend server has started less
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -174,3 +174,19 @@
 	d.control.configureCold()
 	require.False(t, d.gate.ColdOn(), "the bound stays on although the configuration gives no rate")
 }
+
+// Failure: a backend server that becomes cold while it runs is known to be cold only at
+// its own gate, because its heartbeat changes nothing else that is announced.
+func TestColdnessInAHeartbeatIsAnnounced(t *testing.T) {
+	d := coldDaemon(t, 14)
+	beat(d, "b", 100, 1, 0)
+	require.Zero(t, d.self().ColdUntil)
+	beat(d, "b", 100, 2, 3*time.Second)
+	require.True(t, d.gate.ColdState().Cold)
+	require.InDelta(t, 3000, d.self().ColdUntil-time.Now().UnixMilli(), 300)
+	first := d.self()
+	beat(d, "b", 100, 3, 3*time.Second)
+	require.Same(t, first, d.self(), "the end has hardly changed")
+	beat(d, "b", 100, 4, 0)
+	require.Zero(t, d.self().ColdUntil)
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -293,10 +293,11 @@
 func (c *control) handleHeartbeat(h membership.Heartbeat) bool {
 	before, accepted := c.local.State(), c.local.Accepted()
 	changed, restarted := c.local.HandleHeartbeat(h)
-	if c.local.Accepted() != accepted {
-		c.hearHeartbeat(h, restarted)
-	}
+	coldnessChanged := c.local.Accepted() != accepted && c.hearHeartbeat(h, restarted)
 	if !changed {
+		if coldnessChanged && c.local.State() == membership.Ready {
+			c.announce()
+		}
 		return c.local.Reflects(h)
 	}
 	c.d.log.Info("backend server", "id", c.local.ID(), "born", c.local.StartMs(), "state", c.local.State().String(), "before", before.String(), "sequence", h.Sequence, "restarted", restarted)
