sidecar: an endpoint whose backend server refuses a connection is tried again

Cause: a refusal with reason no-endpoint (connection refused or not opened in time, or no heartbeat yet after a restart of the daemon) counted as a drain. Only a later report of the endpoint ends a drain, and without calls there is none: daemons without another call in flight left the endpoint unused until its backend server had another start time.

--- a/service/observation.go
+++ b/service/observation.go
@@ -18,7 +18,7 @@
 	Refused                        // the gate rejected it: overload, or too little time left
 	RefusedDraining                // the gate rejected it: its backend server is draining
 	ConnectionLost                 // the connection was lost, but a new dial succeeded
-	Unreachable                    // the daemon could not be dialled
+	Unreachable                    // the daemon could not be dialled, or has no connection to its backend server
 	RefusedCold                    // the gate rejected it: its backend server is cold and has got its rate
 	Abandoned                      // the caller cancelled; not counted for or against the endpoint
 )
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -326,8 +326,10 @@
 		return service.ConnectionLost
 	case fail.Reason == request.ReasonCold && fail.Outcome == request.NotRun:
 		return service.RefusedCold
-	case fail.Reason == request.ReasonDraining, fail.Reason == request.ReasonShutdown, fail.Reason == request.ReasonNoEndpoint:
+	case fail.Reason == request.ReasonDraining, fail.Reason == request.ReasonShutdown:
 		return service.RefusedDraining
+	case fail.Reason == request.ReasonNoEndpoint:
+		return service.Unreachable // a drain would last until the endpoint's next report
 	case fail.Outcome == request.NotRun:
 		return service.Refused
 	default:
