service: a drain ends with the process of the daemon that reported it

Cause: the choice of endpoints compared only the start time and slots of the backend server. After a restart of the daemon beside a backend server that runs on, a daemon that missed the announcements in between kept the flag set by a shutting-down refusal, and nothing ended it. Change: the incarnation of the daemon is part of the endpoint; with another one the measurements are kept and the drain is not. Result: TestRestartedDaemonIsNotTakenForItsPredecessor failed before (passed over: draining) and passes.

--- a/service/endpoint.go
+++ b/service/endpoint.go
@@ -10,7 +10,8 @@
 	Region      string
 	Slots       uint32 // maximum number of concurrent calls of the backend server
 	Connections uint32 // maximum number of connections that the backend server accepts
-	Incarnation uint64 // set when its daemon starts; distinguishes successive daemons at one address
+	Incarnation uint64 // set when its backend server or its daemon starts; measurements end with it
+	Process     int64  // set when its daemon starts, if Incarnation is not; a drain ends with it
 	Draining    bool   // accepts no new calls
 	Evacuated   bool   // its data centre is evacuated: it must receive no calls
 
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -224,6 +224,7 @@
 			Slots:       e.Slots,
 			Connections: e.Slots,
 			Incarnation: uint64(e.Born),
+			Process:     e.Incarnation,
 			Evacuated:   d.isEvacuated(e.DataCentre),
 			ColdShare:   share,
 			SlowStart:   slowStart,
--- a/sidecar/refused_test.go
+++ b/sidecar/refused_test.go
@@ -41,3 +41,20 @@
 	require.NoError(t, err, "passed over: %v", why.PassedOver())
 	require.Equal(t, "10.0.0.2:7000", ep.Peer)
 }
+
+// Failure: after the restart of a daemon whose backend server runs on, daemons that
+// missed the announcements in between take the endpoint for one that stops.
+func TestRestartedDaemonIsNotTakenForItsPredecessor(t *testing.T) {
+	d := coldDaemon(t, 0)
+	eps := withPeer(d, 1)
+	call := &request.Call{Service: "s", Importance: request.Normal, Deadline: d.now().Add(time.Second)}
+	stopping := failureHead(shutdownError())
+	eps.picker.Begin("10.0.0.2:7000")
+	eps.picker.Observe(d.now(), "10.0.0.2:7000", observation(t.Context(), time.Millisecond, stopping, nil))
+	rng := rand.New(rand.NewPCG(1, 2))
+	_, _, err := eps.picker.Pick(d.now(), rng, call, nil)
+	require.Error(t, err)
+	withPeer(d, 2)
+	_, why, err := eps.picker.Pick(d.now(), rng, call, nil)
+	require.NoError(t, err, "passed over: %v", why.PassedOver())
+}
