backend: averages of the work of calls begin with the mean of the first calls

Cause: the averages over all calls and over each class began with the service time of one call and moved by 1/512 and 1/64. When that call was unusual, classes with calls of equal length seemed unusual for some hundred calls, and the admission level counted by work where it must count as before. Change: the first samples count equally.

--- a/backend/callwork.go
+++ b/backend/callwork.go
@@ -12,8 +12,8 @@
 // classes with short ones: a few long calls can fill it while most of the calls are
 // short, and refusing many short ones frees little.
 type callWork struct {
-	mean   float64                  // moving average of the service time of offered calls, ns
-	class  [request.Classes]float64 // the same for each importance class; 0 before its first call
+	mean   average                  // service time of offered calls, ns
+	class  [request.Classes]average // the same for each importance class
 	uneven float64                  // moving average of the part of the offered work in classes of unusual length
 }
 
@@ -32,15 +32,9 @@
 		return 1
 	}
 	s, class := float64(serviceTime), &w.class[min(i, request.Classes-1)]
-	if w.mean == 0 {
-		w.mean = s
-	}
-	if *class == 0 {
-		*class = s
-	}
-	w.mean += (s - w.mean) * callWorkWeight
-	*class += (s - *class) * classWeight
-	work := max(1.0/maxWorkOfCall, min(*class/w.mean, maxWorkOfCall))
+	w.mean.add(s, callWorkWeight)
+	class.add(s, classWeight)
+	work := max(1.0/maxWorkOfCall, min(class.value/w.mean.value, maxWorkOfCall))
 	unusual := 0.0
 	if work >= unusualWork || work <= 1.0/unusualWork {
 		unusual = 1
@@ -58,5 +52,5 @@
 	if w.uneven < minUnevenWork {
 		return 0
 	}
-	return time.Duration(w.mean)
+	return time.Duration(w.mean.value)
 }
