sidecar: the gate starts no more calls than there are connections

Cause: the limit of the gate followed the slots and the configured connections of the backend server, but the client opens at most 200 connections, or an eighth of maxFds. Calls beyond waited for a connection until their deadline, already counted as started: without regard to importance, after an evacuation, and outside the bound for a cold backend server, which got them all when its connections were reset. Change: the gate's number of connections is at most that of the client.

--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -334,16 +334,17 @@
 }
 
 // connections returns the maximum number of connections to the local backend
-// server.
+// server. It is at most that of the client, so that calls wait in the queue of the gate.
 func (c *control) connections() int {
+	most := c.d.settings.backendConnections()
 	t := c.d.table.Load()
 	if t == nil {
-		return defaultBackendConnections
+		return most
 	}
 	if s := t.Service(c.d.settings.Service); s != nil && s.MaxConnections > 0 {
-		return s.MaxConnections
+		return min(s.MaxConnections, most)
 	}
-	return defaultBackendConnections
+	return most
 }
 
 // clone returns a deep copy of an entry.
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -129,7 +129,7 @@
 	d.members.Store(&[]*membership.Entry{})
 	d.traffic, d.cancelTraffic = context.WithCancel(context.Background())
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
-	d.gate = backend.NewGate(backend.Config{Slots: initialSlots, MaxConnections: defaultBackendConnections}, d.now)
+	d.gate = backend.NewGate(backend.Config{Slots: initialSlots, MaxConnections: settings.backendConnections()}, d.now)
 	d.client = backend.NewClient(backend.ClientConfig{
 		Address:        settings.Backend,
 		MaxConnections: settings.backendConnections(),
