--- a/sidecar/connections_test.go
+++ b/sidecar/connections_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wisteriafold/membership"
+	"wisteriafold/routing"
 )
 
 // Failure: the gate starts more calls than there are connections. The others wait for a
@@ -23,3 +24,21 @@
 		require.Equal(t, want, int(d.gate.Report().Limit), "maxFds %d", descriptors)
 	}
 }
+
+// Failure: a heartbeat that arrives before the configuration, as after a restart of the
+// daemon, makes the gate use more connections than the backend server accepts until the
+// backend server changes.
+func TestConnectionsOfTheConfigurationHoldAfterAHeartbeat(t *testing.T) {
+	d, err := New(Settings{Listen: Listen{Peers: "10.0.0.1:7000"}, Service: "s"}, Options{Dialect: oneServiceDialect{}, Store: unusedStore{}})
+	require.NoError(t, err)
+	d.control.handleHeartbeat(membership.Heartbeat{ID: "b", StartMs: 100, Sequence: 1, State: membership.Ready, Service: "s", Slots: 50})
+	require.Equal(t, 50, int(d.gate.Report().Limit))
+	require.EqualValues(t, 1, d.control.Adopt(nil))
+	require.Equal(t, 10, int(d.gate.Report().Limit))
+}
+
+type oneServiceDialect struct{ coldDialect }
+
+func (oneServiceDialect) DecodeConfiguration([]byte) (*routing.Configuration, error) {
+	return &routing.Configuration{Generation: 1, Services: []routing.Service{{Name: "s", MaxConnections: 10}}}, nil
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -222,6 +222,7 @@
 	c.logNotices(conf.Notices)
 	c.d.tokens.apply(conf.Organisations)
 	c.d.table.Store(routing.NewTable(conf, c.rng))
+	c.resizeGate()
 	c.configureCold()
 	return c.generation
 }
@@ -326,11 +327,17 @@
 // backendChanged applies the slots of the local backend server to the gate and
 // publishes its state.
 func (c *control) backendChanged() {
+	c.resizeGate()
+	c.d.backendSnapshot.Store(&backendState{id: c.local.ID(), state: c.local.State()})
+	c.announce()
+}
+
+// resizeGate applies the slots of the local backend server and the connections that the
+// configuration gives.
+func (c *control) resizeGate() {
 	if n := c.local.Slots(); n > 0 {
 		c.d.gate.Resize(backend.Config{Slots: n, MaxConnections: c.connections(), InitialLimit: n})
 	}
-	c.d.backendSnapshot.Store(&backendState{id: c.local.ID(), state: c.local.State()})
-	c.announce()
 }
 
 // connections returns the maximum number of connections to the local backend
