--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -222,6 +222,7 @@
 	c.logNotices(conf.Notices)
 	c.d.tokens.apply(conf.Organisations)
 	c.d.table.Store(routing.NewTable(conf, c.rng))
+	c.resizeGate()
 	c.configureCold()
 	return c.generation
 }
@@ -293,10 +294,11 @@
 func (c *control) handleHeartbeat(h membership.Heartbeat) bool {
 	before, accepted := c.local.State(), c.local.Accepted()
 	changed, restarted := c.local.HandleHeartbeat(h)
-	if c.local.Accepted() != accepted {
-		c.hearHeartbeat(h, restarted)
-	}
+	coldnessChanged := c.local.Accepted() != accepted && c.hearHeartbeat(h, restarted)
 	if !changed {
+		if coldnessChanged && c.local.State() == membership.Ready {
+			c.announce()
+		}
 		return c.local.Reflects(h)
 	}
 	c.d.log.Info("backend server", "id", c.local.ID(), "born", c.local.StartMs(), "state", c.local.State().String(), "before", before.String(), "sequence", h.Sequence, "restarted", restarted)
@@ -325,24 +327,31 @@
 // backendChanged applies the slots of the local backend server to the gate and
 // publishes its state.
 func (c *control) backendChanged() {
+	c.resizeGate()
+	c.d.backendSnapshot.Store(&backendState{id: c.local.ID(), state: c.local.State()})
+	c.announce()
+}
+
+// resizeGate applies the slots of the local backend server and the connections that the
+// configuration gives.
+func (c *control) resizeGate() {
 	if n := c.local.Slots(); n > 0 {
 		c.d.gate.Resize(backend.Config{Slots: n, MaxConnections: c.connections(), InitialLimit: n})
 	}
-	c.d.backendSnapshot.Store(&backendState{id: c.local.ID(), state: c.local.State()})
-	c.announce()
 }
 
 // connections returns the maximum number of connections to the local backend
-// server.
+// server. It is at most that of the client, so that calls wait in the queue of the gate.
 func (c *control) connections() int {
+	most := c.d.settings.backendConnections()
 	t := c.d.table.Load()
 	if t == nil {
-		return defaultBackendConnections
+		return most
 	}
 	if s := t.Service(c.d.settings.Service); s != nil && s.MaxConnections > 0 {
-		return s.MaxConnections
+		return min(s.MaxConnections, most)
 	}
-	return defaultBackendConnections
+	return most
 }
 
 // clone returns a deep copy of an entry.
