ingress: the last answer is not cut by requests that wait unread

Cause: a connection was closed at once behind an answer that ends it. When the caller had sent further requests that are not read any more, the kernel resets such a connection and drops what has not left yet: the caller sees a cut answer of a request that has run. Callers that send ahead meet this at each stop.

Change: the writing side is closed first and what still arrives is dropped for at most lingerTimeout, as for refused bodies. For a request with Connection: close this is done only if bytes wait.

Measured: TestLastAnswerIsWholeWhenRequestsWaitUnread failed in all three cases before ("connection reset by peer"), passes now; go test -count=3 ./ingress: ok.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -546,6 +546,14 @@
 	_ = c.nc.Close()
 }
 
+// bytesWait reports whether the caller has sent bytes that have not been read.
+func (c *conn) bytesWait() (unread bool) {
+	if c.raw != nil {
+		_ = c.raw.Control(func(fd uintptr) { unread = pollPeer(fd).unread })
+	}
+	return unread
+}
+
 // close closes the connection when its reader ends.
 func (c *conn) close() {
 	c.mu.Lock()
--- a/ingress/order.go
+++ b/ingress/order.go
@@ -144,7 +144,8 @@
 			}
 			c.mu.Lock()
 		}
-		c.linger = err == nil && (unread || r.rejected)
+		ended := closes || c.noMore
+		c.linger = err == nil && (unread || r.rejected || ended && (!r.Header.ConnectionClose() || c.bytesWait()))
 		c.removeLocked(r)
 		if err != nil || closes {
 			c.shutLocked()
