ingress: bodies are read with a small limit of heads

Cause: the first 8 KiB of a body must arrive before the handler runs, but the buffer has the size of the limit of heads plus 4 KiB. With maxHeaderBytes below 4096 each longer body was answered 400.

Change: no more is awaited than the buffer holds.

Measured: TestBodiesAreReadWithSmallHeads failed before (400 instead of 200), passes now.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -202,7 +202,7 @@
 	if b.isChunked {
 		return nil
 	}
-	_, err := b.c.br.Peek(int(min(b.left, prefetchBytes)))
+	_, err := b.c.br.Peek(int(min(b.left, prefetchBytes, int64(b.c.br.Size()))))
 	return err
 }
 
