ingress: nothing is held for a connection cut before its body was read

Cause: when a connection was cut while the handler had yet to read a body that had arrived, the reader left the buffer to the end of the request, and the end of the body left it to the reader. Its bytes stayed counted as held for good; enough of them make the daemon refuse all requests.

Change: the end of the body drops the buffer of a connection that is closing.

Measured: TestNothingIsHeldAfterACutBeforeTheBodyIsRead failed before (condition never satisfied in 10 s), passes now, -race -count=20 ok.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -503,6 +503,9 @@
 		_ = c.nc.SetReadDeadline(time.Time{})
 	}
 	c.bodyReading = false
+	if c.closing { // the reader may have ended without dropping it
+		c.dropReader()
+	}
 	c.wakeLocked()
 }
 
