ingress: closing an idle connection does not block for good

Cause: closeIdle closed the socket under the mutex of the connection. Close waits until no read is in progress, and the reader, which had just been woken by bytes or by the end of the connection, waited for that mutex. The check of time-outs or the accept loop, which closes idle connections when there are too many, was blocked for good: no time-out was in force any more, or no connection was accepted.

Change: the socket is closed without the mutex.

Measured: TestIdleConnectionsEndWhileCallersSend failed before ("the check of time-outs hangs", then the server could not be closed within 60 s), passes now, -count=3 ok.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -259,13 +259,15 @@
 // closeIdle closes the connection if it has been idle since before a time.
 func (c *conn) closeIdle(before int64) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.idleLocked() || c.idleSince.Load() >= before {
-		return false
+	ends := c.idleLocked() && c.idleSince.Load() < before
+	if ends {
+		c.shutLocked()
 	}
-	c.shutLocked()
-	_ = c.nc.Close()
-	return true
+	c.mu.Unlock()
+	if ends {
+		_ = c.nc.Close() // waits for the reader, which may wait for c.mu
+	}
+	return ends
 }
 
 func (s *Server) sweepUntil(stop chan struct{}) {
