ingress, sidecar: callers that do not read are cut when answers wait for memory

Cause: answers of the local backend server may hold an eighth of memoryMb, but callers that take no bytes were cut only from 9/64 (three quarters of 3/16) on. Callers that did not read such answers kept all others from getting one until the write time-out of 15 s, with 504 after their work was done.

Change: the check every 250 ms also cuts callers without progress for a second, those longest without first, while reservations of the memory account wait or were refused since the last check, until as many bytes are free as were wanted.

--- a/ingress/account.go
+++ b/ingress/account.go
@@ -36,8 +36,9 @@
 )
 
 // chooseVictim returns the index of the connection that is cut: a reader without
-// progress while new requests are refused, any other only above the limit.
-func chooseVictim(holders []holder, limit int64) (i int, why choice) {
+// progress while new requests are refused or bytes are wanted for other answers, any
+// other only above the limit.
+func chooseVictim(holders []holder, limit, wanted int64) (i int, why choice) {
 	total, slow, big := int64(0), -1, -1
 	for i, h := range holders {
 		total += h.bytes
@@ -52,7 +53,7 @@
 		}
 	}
 	switch {
-	case total < refuseLevel(limit):
+	case total < refuseLevel(limit) && wanted <= 0:
 	case slow >= 0:
 		return slow, stalled
 	case total > limit && holders[big].bytes > limit/int64(len(holders)):
@@ -64,12 +65,12 @@
 // relieveAboveLimit cuts callers if more bytes are held than the limit allows.
 func (s *Server) relieveAboveLimit() {
 	if limit := s.opt.Limits().HeldBytes; s.held.Load() > limit {
-		s.relieve(limit)
+		s.relieve(limit, 0)
 	}
 }
 
-// relieve cuts callers as chooseVictim says.
-func (s *Server) relieve(limit int64) {
+// relieve cuts callers as chooseVictim says, until wanted bytes are free.
+func (s *Server) relieve(limit, wanted int64) {
 	s.relieving.Lock()
 	defer s.relieving.Unlock()
 	now := s.now()
@@ -89,7 +90,7 @@
 		conns, holders = append(conns, c), append(holders, h)
 	}
 	for {
-		i, why := chooseVictim(holders, limit)
+		i, why := chooseVictim(holders, limit, wanted)
 		if why == nobody {
 			return
 		}
@@ -98,6 +99,7 @@
 			reason = "memory is short, holds most"
 		}
 		s.cutReader(conns[i], reason, int64(holders[i].stalled))
+		wanted -= holders[i].bytes
 		holders[i].bytes = 0
 	}
 }
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -11,6 +11,6 @@
 	for i := range bytes {
 		holders[i] = holder{bytes[i], stalled[i]}
 	}
-	i, _ := chooseVictim(holders, limit)
+	i, _ := chooseVictim(holders, limit, 0)
 	return i
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -67,6 +67,10 @@
 	// Limits returns the limits in force.
 	Limits func() Limits
 
+	// Wanted returns the bytes of answers for which there is no memory now. While there
+	// are any, callers that take no bytes are cut. A nil Wanted stands for none.
+	Wanted func() int64
+
 	// Context is the parent of the contexts of all requests.
 	Context context.Context
 
@@ -301,8 +305,12 @@
 		}
 	}
 	s.workers.trim(now - int64(workerIdle))
-	if s.held.Load() >= refuseLevel(l.HeldBytes) {
-		s.relieve(l.HeldBytes)
+	wanted := int64(0)
+	if s.opt.Wanted != nil {
+		wanted = s.opt.Wanted()
+	}
+	if wanted > 0 || s.held.Load() >= refuseLevel(l.HeldBytes) {
+		s.relieve(l.HeldBytes, wanted)
 	}
 }
 
--- a/memaccount/account.go
+++ b/memaccount/account.go
@@ -30,6 +30,7 @@
 	parts   []*Part
 	waits   int64 // number of reservations that had to wait
 	refused int64 // number of reservations that failed
+	denied  int64 // bytes that TryReserve found no room for since the last Wanted
 }
 
 // Part bounds the bytes of one kind of holding within an account. A part that is
@@ -88,6 +89,21 @@
 	return s
 }
 
+// Wanted returns the bytes for which reservations wait, and those for which there was no
+// room since the last call.
+func (a *Account) Wanted() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := a.denied
+	a.denied = 0
+	for _, p := range a.parts {
+		for _, w := range p.waiting {
+			n += w.n
+		}
+	}
+	return n
+}
+
 // Limit returns the limit of the part in bytes.
 func (p *Part) Limit() int64 { return p.limit }
 
@@ -129,6 +145,7 @@
 	defer a.mu.Unlock()
 	if !h.part.passes(n) || !h.part.fits(n) {
 		a.refused++
+		a.denied += n
 		return false
 	}
 	h.add(n)
--- a/sidecar/listener.go
+++ b/sidecar/listener.go
@@ -89,6 +89,7 @@
 		Handler:  d.serveCaller,
 		Overlaps: d.mayOverlap,
 		Limits:   d.callerLimits,
+		Wanted:   d.answers.account.Wanted,
 		Context:  d.traffic,
 		Log:      func(msg string, keyvals ...any) { d.log.Warn(msg, keyvals...) },
 	})
