ingress: slow readers make room for answers that wait for memory

Cause: a caller that takes a few KiB now and then is not without progress, and the largest holder is cut only above the limit of heads and answers (3/16 of memoryMb), which answers of the local backend server (1/8) never reach. Such callers kept all others from getting one for as long as they liked.

Change: while bytes are wanted and nobody is without progress, the largest holder whose answer has been leaving for 5 s is cut.

Measured: trial with five answers of 6 MiB at memoryMb 256, 4 KiB read every 200 ms: no answer for others in 18 s (nine 504), nobody cut.

--- a/ingress/account.go
+++ b/ingress/account.go
@@ -9,6 +9,10 @@
 	// for memory.
 	stallBeforeCut = time.Second
 
+	// slowWrite is how long an answer may take to leave before its caller may be cut
+	// because other answers wait for memory.
+	slowWrite = 5 * time.Second
+
 	// refuseFraction is the part of the limit above which new requests are refused. The
 	// rest is room for the answers of requests in progress.
 	refuseFraction = 0.75
@@ -24,6 +28,7 @@
 type holder struct {
 	bytes   int64
 	stalled time.Duration // since the caller took a byte, 0 when nothing is being sent
+	writing time.Duration // since the answer being sent began, 0 when there is none
 }
 
 // choice is the result of chooseVictim.
@@ -33,20 +38,24 @@
 	nobody  choice = iota
 	stalled        // the reader without progress longest
 	largest        // the largest holder
+	slow           // the largest holder of those that read slowly
 )
 
 // chooseVictim returns the index of the connection that is cut: a reader without
-// progress while new requests are refused or bytes are wanted for other answers, any
-// other only above the limit.
+// progress while new requests are refused or bytes are wanted for other answers, then a
+// slow one while bytes are wanted, any other only above the limit.
 func chooseVictim(holders []holder, limit, wanted int64) (i int, why choice) {
-	total, slow, big := int64(0), -1, -1
+	total, still, late, big := int64(0), -1, -1, -1
 	for i, h := range holders {
 		total += h.bytes
 		if h.bytes <= 0 {
 			continue
 		}
-		if h.stalled >= stallBeforeCut && (slow < 0 || h.stalled > holders[slow].stalled) {
-			slow = i
+		if h.stalled >= stallBeforeCut && (still < 0 || h.stalled > holders[still].stalled) {
+			still = i
+		}
+		if h.writing >= slowWrite && (late < 0 || h.bytes > holders[late].bytes) {
+			late = i
 		}
 		if big < 0 || h.bytes > holders[big].bytes {
 			big = i
@@ -54,8 +63,10 @@
 	}
 	switch {
 	case total < refuseLevel(limit) && wanted <= 0:
-	case slow >= 0:
-		return slow, stalled
+	case still >= 0:
+		return still, stalled
+	case wanted > 0 && late >= 0:
+		return late, slow
 	case total > limit && holders[big].bytes > limit/int64(len(holders)):
 		return big, largest
 	}
@@ -84,6 +95,7 @@
 		if since := c.writeSince.Load(); since != 0 {
 			c.observeProgress(now)
 			h.stalled = time.Duration(now - max(since, c.progressAt.Load()))
+			h.writing = time.Duration(now - since)
 		} else if since := c.headSince.Load(); since != 0 {
 			h.stalled = time.Duration(now - since)
 		}
@@ -95,8 +107,11 @@
 			return
 		}
 		reason := "memory is short, takes no bytes"
-		if why == largest {
+		switch why {
+		case largest:
 			reason = "memory is short, holds most"
+		case slow:
+			reason = "memory is short, reads slowly"
 		}
 		s.cutReader(conns[i], reason, int64(holders[i].stalled))
 		wanted -= holders[i].bytes
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -9,7 +9,7 @@
 func ChooseVictimForTest(bytes []int64, stalled []time.Duration, limit int64) int {
 	holders := make([]holder, len(bytes))
 	for i := range bytes {
-		holders[i] = holder{bytes[i], stalled[i]}
+		holders[i] = holder{bytes: bytes[i], stalled: stalled[i]}
 	}
 	i, _ := chooseVictim(holders, limit, 0)
 	return i
--- a/sidecar/localunread_test.go
+++ b/sidecar/localunread_test.go
@@ -11,10 +11,9 @@
 	"wisteriafold/standin/rowstore"
 )
 
-// Failure: callers that do not read the answers of the local backend server fill the
-// part of the memory that its answers may take, and no other caller gets an answer of
-// it for as long as they stay.
-func TestLocalAnswersThatAreNotReadMakeRoomForOthers(t *testing.T) {
+// localUnread returns a daemon whose room for answers of the local backend server is
+// taken by callers. read starts what a caller does with its answer.
+func localUnread(t *testing.T, read func(*rawConnection)) *node {
 	const callers = 8 // the part has room for five answers
 	cfg := archive()
 	cfg.Body = strings.Repeat("x", 6<<20)
@@ -27,10 +26,36 @@
 		d.awaitReady(n, 2)
 	}
 	for i := range callers {
-		n.connectSmall(t).write(view(fmt.Sprint("never", i)))
+		c := n.connectSmall(t)
+		c.write(view(fmt.Sprint("x", i)))
+		read(c)
 	}
 	require.Eventually(t, func() bool { return metric(t, n, "caller_requests_waiting") == "5" }, 5*time.Second, 10*time.Millisecond)
+	return n
+}
+
+// Failure: callers that do not read the answers of the local backend server fill the
+// part of the memory that its answers may take, and no other caller gets an answer of
+// it for as long as they stay.
+func TestLocalAnswersThatAreNotReadMakeRoomForOthers(t *testing.T) {
+	n := localUnread(t, func(*rawConnection) {})
 	require.Eventually(t, func() bool {
 		return n.send(t, "GET", "/view/1", "y", "", "X-Credential", "key-1").status == 200
 	}, 8*time.Second, 20*time.Millisecond) // a caller that takes nothing is cut after 15 s in any case
 }
+
+// Failure: callers that read answers of the local backend server slowly keep all others
+// from getting one for as long as they take a byte now and then.
+func TestLocalAnswersThatAreReadSlowlyMakeRoomForOthers(t *testing.T) {
+	n := localUnread(t, func(c *rawConnection) {
+		go func() {
+			b := make([]byte, 4096)
+			for _, err := c.conn.Read(b); err == nil; _, err = c.conn.Read(b) {
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	})
+	require.Eventually(t, func() bool {
+		return n.send(t, "GET", "/view/1", "y", "", "X-Credential", "key-1").status == 200
+	}, 14*time.Second, 20*time.Millisecond)
+}
