service: explain the choice of endpoint by decisions on a copy

Operators could not see why a request would go where it goes. Picker.Explain clones the picker (states, averages, shares of cold endpoints, no link budget) and draws decisions with the code of Pick, whose decision is now apart from the taking of the cold share. It reports probabilities, costs and their parts, and the reasons for passing endpoints over.

--- a/service/pick.go
+++ b/service/pick.go
@@ -29,6 +29,7 @@
 	tried    []string
 	decision Decision
 	usable   [maxSubset]*state
+	tally    *tally // nil unless the decision is explained
 
 	beyondShare bool // cold endpoints are used beyond this daemon's share
 	coldPassed  bool // an endpoint was skipped because it is cold
@@ -41,10 +42,28 @@
 // goroutine during the call. The caller must call Begin for the chosen endpoint.
 func (p *Picker) Pick(now time.Time, rng *rand.Rand, call *request.Call, tried []string) (Endpoint, Decision, error) {
 	w := pick{picker: p, now: p.since(now), rng: rng, call: call, tried: tried}
+	best, err := w.decide(p.viewFor(call))
+	if err != nil {
+		return Endpoint{}, w.decision, err
+	}
+	best.state.cold.take(w.now)
+	w.decision.Peer = best.state.endpoint.Peer
+	w.decision.Locality = best.state.locality
+	w.decision.Cost = time.Duration(best.cost)
+	return best.state.endpoint, w.decision, nil
+}
+
+// viewFor returns the view that a decision about call uses.
+func (p *Picker) viewFor(call *request.Call) *view {
 	v := p.view.Load()
 	if call.Regions != nil {
 		v = v.restrictedTo(call.Regions)
 	}
+	return v
+}
+
+// decide returns the endpoint for the call, or the refusal if none can be used.
+func (w *pick) decide(v *view) (candidate, *request.Error) {
 	best := w.choose(v)
 	if best.state == nil && (w.coldPassed || w.pacePassed) {
 		// The gates of these endpoints know how many calls they have got.
@@ -54,17 +73,21 @@
 	if best.state == nil {
 		best = w.failOpen(v)
 	}
-	if best.state == nil {
-		if w.coldPassed {
-			return Endpoint{}, w.decision, errOnlyCold
-		}
-		return Endpoint{}, w.decision, w.noEndpoint(v)
+	if best.state != nil {
+		return best, nil
+	}
+	if w.coldPassed {
+		return candidate{}, errOnlyCold
+	}
+	return candidate{}, w.noEndpoint(v)
+}
+
+// passOver records that an endpoint was not chosen.
+func (w *pick) passOver(s *state, why Skip, cost float64) {
+	w.decision.addPassedOver(s.endpoint.Peer, why, time.Duration(cost))
+	if w.tally != nil {
+		w.tally.passedOver[s] = why
 	}
-	best.state.cold.take(w.now)
-	w.decision.Peer = best.state.endpoint.Peer
-	w.decision.Locality = best.state.locality
-	w.decision.Cost = time.Duration(best.cost)
-	return best.state.endpoint, w.decision, nil
 }
 
 var errNoEndpoint = request.NewNotRunError(request.ReasonNoEndpoint,
@@ -97,7 +120,7 @@
 		if !w.chargeLink(c) {
 			continue
 		}
-		w.decision.addPassedOver(best.state.endpoint.Peer, skip, time.Duration(best.cost))
+		w.passOver(best.state, skip, best.cost)
 		w.decision.Why = why
 		best = c
 	}
@@ -126,7 +149,7 @@
 			break
 		}
 		if why := w.skip(s, nearer); why != SkipNone {
-			w.decision.addPassedOver(s.endpoint.Peer, why, 0)
+			w.passOver(s, why, 0)
 			continue
 		}
 		w.usable[n] = s
@@ -148,7 +171,7 @@
 		if w.prefers(c, &best) {
 			best, worse = c, best
 		}
-		w.decision.addPassedOver(worse.state.endpoint.Peer, SkipHigherCost, time.Duration(worse.cost))
+		w.passOver(worse.state, SkipHigherCost, worse.cost)
 	}
 	return best
 }
@@ -271,7 +294,7 @@
 	if w.picker.link.Take(c.state.endpoint.Region, out, back) {
 		return true
 	}
-	w.decision.addPassedOver(c.state.endpoint.Peer, SkipLinkBudget, time.Duration(c.cost))
+	w.passOver(c.state, SkipLinkBudget, c.cost)
 	return false
 }
 
