sidecar: page /explain on the metrics listener

Answers in JSON where a request would go now: route, configuration, homes, evacuation, admission, candidates with cost and probabilities, and a retry. It works on copies of the entry control, the token account, the retry budget and the picker: nothing is sent, taken or counted, and d.services and d.routes get no new entries.

--- a/service/windowbudget.go
+++ b/service/windowbudget.go
@@ -115,3 +115,15 @@
 	b.credits[b.index(0)] = credit
 	b.earn(credit)
 }
+
+// Left returns the number of retries that could be taken at now. It changes nothing.
+func (b *WindowBudget) Left(now time.Duration) float64 {
+	b.mu.Lock()
+	c := WindowBudget{
+		ratio: b.ratio, burst: b.burst, slot: b.slot,
+		current: b.current, attempts: b.attempts, credits: b.credits, left: b.left,
+	}
+	b.mu.Unlock()
+	c.advance(now)
+	return c.left
+}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -88,6 +88,7 @@
 
 	lost          lostConnections // connections to the backend server
 	coldServices  coldServices
+	explaining    sync.Mutex   // serialises explanations
 	inFlight      atomic.Int64 // requests in progress
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	answers       answerAccounts
@@ -245,7 +246,7 @@
 		{"peers", d.settings.Listen.Peers, func(l net.Listener) {
 			d.spawn(func() { d.reportServeError(d.links.Serve(d.protectListener("peers", l, 0))) })
 		}},
-		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP("metrics", l, d.serveMetrics) }},
+		{"metrics", d.settings.Listen.Metrics, func(l net.Listener) { d.serveHTTP("metrics", l, d.serveMetricsPages) }},
 		{"callers", d.settings.Listen.Callers, d.serveCallers},
 	} {
 		l, err := net.Listen("tcp", x.addr)
