--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -166,14 +166,23 @@
 
 func explainCommand() *cobra.Command {
 	var f operatorFlags
+	var asked explainFlags
 	c := &cobra.Command{
-		Use:     "explain REQUEST_ID",
-		Short:   "Show the decisions about a request at the daemons that handled it",
-		Example: "  wisteriafold explain 5f0c6d0e5a1b2c3d --settings-dir examples/kurume/daemons",
-		Args:    usage(cobra.ExactArgs(1)),
+		Use:   "explain [REQUEST_ID]",
+		Short: "Show the decisions about a request at the daemons that handled it, or where one would go",
+		Long: `With a request id, explain shows the decisions about the request at the daemons
+that handled it. With --metrics it shows where a request would go now from a
+daemon of the platform, and why, without sending it.`,
+		Example: "  wisteriafold explain 5f0c6d0e5a1b2c3d --settings-dir examples/kurume/daemons\n" +
+			"  wisteriafold explain --metrics 127.0.0.1:7405 --host h.example --path /view/1 --organisation o1",
+		Args: usage(asked.arguments),
 	}
 	f.flags(c)
+	asked.flags(c)
 	c.RunE = func(cmd *cobra.Command, args []string) error {
+		if asked.metrics != "" {
+			return asked.run(cmd)
+		}
 		addresses, err := f.addresses()
 		if err != nil {
 			return err
--- a/cmd/wisteriafold/main.go
+++ b/cmd/wisteriafold/main.go
@@ -80,7 +80,7 @@
 		Use:   "wisteriafold",
 		Short: "Operate a wisteriafold fleet",
 		Long: `wisteriafold checks and applies configurations, shows what is in force and
-explains how a request was handled.
+explains how a request was handled or would be.
 
 Exit codes: 0 success, 1 failed, 2 wrong arguments or configuration, 3 lost a
 race with another apply, 4 outcome of the apply unknown, 5 accepted but not
