--- a/cmd/wisteriafold/explain.go
+++ b/cmd/wisteriafold/explain.go
@@ -104,7 +104,7 @@
 	if r := x.Route; r != nil {
 		fmt.Fprintf(&b, "route          %s (prefix %s, idempotent %t, open %t, time-out %.0f ms)\n", r.Name, r.Prefix, r.Idempotent, r.Open, r.TimeoutMs)
 		fmt.Fprintf(&b, "organisation   %s, importance %s\n", orNone(x.Organisation), x.Importance)
-		fmt.Fprintf(&b, "home regions   %s\n", orAll(x.Homes))
+		fmt.Fprintf(&b, "home regions   %s\n", homesText(x))
 	}
 	if e := x.Evacuation; e != nil {
 		fmt.Fprintf(&b, "evacuated      %s (known %t, version %d)\n", orNone(strings.Join(e.DataCentres, ", ")), e.Known, e.Version)
@@ -130,11 +130,14 @@
 	return s
 }
 
-func orAll(regions []string) string {
-	if len(regions) == 0 {
+func homesText(x *sidecar.Explanation) string {
+	switch {
+	case x.NoHome:
+		return "none may serve it"
+	case len(x.Homes) == 0:
 		return "all"
 	}
-	return strings.Join(regions, ", ")
+	return strings.Join(x.Homes, ", ")
 }
 
 func admissionText(a *sidecar.ExplainedAdmission) string {
@@ -166,10 +169,10 @@
 	fmt.Fprintln(w, "  ENDPOINT\tWHERE\tCHOSEN\tCOST\t= LATENCY\t+ BYTES\t+ WAIT\tRESPONSE (AGE)\tLOSS\tOUTSTANDING/LIMIT\tREPORT AGE\tWORK (AGE)\tPACE\tOVERFLOW\tPASSED OVER")
 	for i := range c.Endpoints {
 		e := &c.Endpoints[i]
-		fmt.Fprintf(w, "  %s\t%s\t%.1f%%\t%.1f ms\t%.1f\t%.1f\t%.1f\t%.1f (%s)\t%.2f\t%.0f/%.0f\t%s\t%d%% (%.0f ms)\t%.2f\t%.2f\t%s\n",
+		fmt.Fprintf(w, "  %s\t%s\t%.1f%%\t%.1f ms\t%.1f\t%.1f\t%.1f\t%.1f (%s)\t%.2f\t%.0f/%.0f\t%s\t%s\t%.2f\t%.2f\t%s\n",
 			e.Peer, e.Locality, 100*e.Probability, e.CostMs, e.LatencyMs, e.BytesMs, e.CostMs-e.LatencyMs-e.BytesMs,
 			e.ResponseMs, ageText(e.MeasuredAgeMs), e.Loss, e.Outstanding, e.Limit, reportText(e),
-			e.WorkPercent, e.WorkAgeMs, e.PaceShare, e.OverflowShare, passedOverText(e))
+			workText(e), e.PaceShare, e.OverflowShare, passedOverText(e))
 	}
 	_ = w.Flush() // writing to a strings.Builder never fails
 	if c.Refused > 0 {
@@ -191,6 +194,14 @@
 	return ageText(e.ReportAgeMs)
 }
 
+// workText returns the reported work percent with its age at the time of the report.
+func workText(e *sidecar.ExplainedEndpoint) string {
+	if e.WorkPercent == 0 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%d%% (%.0f ms)", e.WorkPercent, e.WorkAgeMs)
+}
+
 // passedOverText returns the reasons for not choosing the endpoint, in order of their
 // names, with the frequency of each.
 func passedOverText(e *sidecar.ExplainedEndpoint) string {
--- a/sidecar/explain.go
+++ b/sidecar/explain.go
@@ -6,13 +6,13 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/request"
 	"wisteriafold/routing"
-	"wisteriafold/service"
 )
 
 const (
@@ -83,7 +83,7 @@
 		case "host":
 			q.host = v
 		case "path":
-			q.path = v
+			q.path, _, _ = strings.Cut(v, "?")
 		case "organisation":
 			q.organisation = v
 		case "key-digest":
@@ -157,6 +157,7 @@
 	x.Admission.refuse(e.refuseWhileStopping(now))
 	d.explainEntry(now, e, &x.Admission)
 	if _, ok := t.Homes(e.match.Route, e.organisation); !ok {
+		x.NoHome = true
 		return x, nil // no region may serve it, so that no endpoint is looked for
 	}
 	total := 0.0
@@ -264,15 +265,13 @@
 // after a failure of the endpoint that is most likely.
 func (d *Daemon) explainService(now time.Time, call *request.Call, share float64, maxAttempts int) ExplainedService {
 	x := ExplainedService{Service: call.Service, Share: share}
-	var p *service.Picker
-	if e, ok := d.services.Load(call.Service); ok {
-		eps := e.(*endpoints)
+	eps := d.newEndpoints()
+	if used, ok := d.services.Load(call.Service); ok {
 		x.Used = true
-		x.Retry.NotRunLeft, x.Retry.MayRunLeft = eps.notRun.Left(sinceBoot()), float64(eps.mayRun.Left())
-		p = eps.picker.Clone()
-	} else {
-		p = service.NewPicker(d.epoch, pickerConfig(), d.location, rand.Uint64())
+		eps = used.(*endpoints)
 	}
+	x.Retry.NotRunLeft, x.Retry.MayRunLeft = eps.notRun.Left(sinceBoot()), float64(eps.mayRun.Left())
+	p := eps.picker.Clone()
 	if !x.Used || call.Regions != nil {
 		if call.Regions != nil {
 			p.EnableHomes()
--- a/sidecar/explain_test.go
+++ b/sidecar/explain_test.go
@@ -121,3 +121,27 @@
 	defer n.logs.mu.Unlock()
 	require.NotContains(t, n.logs.b.String(), "key-1")
 }
+
+// Failure: the explanation leaves out the allowed regions, or enables them in the picker.
+func TestExplainTellsHomeRegions(t *testing.T) {
+	doc := withRegions(1, map[string][]string{"view": {"g2"}, "o2": {"g1"}},
+		tenant{Name: "o1", APIKeys: []string{"key-1"}}, tenant{Name: "o2", APIKeys: []string{"key-2"}})
+	d := deployTwoRegions(t, doc, nil, archive(), archive(), archive(), archive())
+	n := d.nodes[0]
+	require.Equal(t, 200, n.send(t, "POST", "/order/1", "v", "x", "X-Credential", "key-2").status)
+	x := explained(t, n, "path", "/view/1?next=/order/1", "organisation", "o1")
+	require.Equal(t, []string{"g2"}, x.Homes)
+	require.Len(t, x.Services[0].Choice.Endpoints, 4)
+	for _, e := range x.Services[0].Choice.Endpoints {
+		if e.Region == "g1" {
+			require.Zero(t, e.Probability)
+			require.InDelta(t, 1, e.PassedOver["home-region"], 1e-6)
+		} else {
+			require.Positive(t, e.Probability)
+		}
+	}
+	x = explained(t, n, "path", "/view/1", "organisation", "o2")
+	require.Equal(t, "home-region", x.Admission.Refused)
+	require.True(t, x.NoHome)
+	require.Empty(t, x.Services)
+}
--- a/sidecar/explanation.go
+++ b/sidecar/explanation.go
@@ -18,8 +18,9 @@
 	Route         *ExplainedRoute        `json:"route,omitempty"` // absent if none matches
 	Organisation  string                 `json:"organisation,omitempty"`
 	Importance    string                 `json:"importance,omitempty"`
-	Homes         []string               `json:"home_regions,omitempty"` // absent if the request is not restricted
-	Evacuation    *ExplainedEvacuation   `json:"evacuation,omitempty"`   // absent if the settings do not ask for it
+	Homes         []string               `json:"home_regions,omitempty"`   // absent if the request is not restricted
+	NoHome        bool                   `json:"no_home_region,omitempty"` // no region may serve the request
+	Evacuation    *ExplainedEvacuation   `json:"evacuation,omitempty"`     // absent if the settings do not ask for it
 	Admission     ExplainedAdmission     `json:"admission"`
 	Services      []ExplainedService     `json:"services,omitempty"` // the parts of the route
 }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -59,13 +59,7 @@
 	if e, ok := d.services.Load(name); ok {
 		return e.(*endpoints)
 	}
-	r := d.settings.Retries
-	saved := max(int(notRunSlackFraction*r.Slack)/max(len(*d.members.Load()), 1), minNotRunSaved)
-	e := &endpoints{
-		picker: service.NewPicker(d.epoch, pickerConfig(), d.location, rand.Uint64()),
-		notRun: service.NewWindowBudget(r.Ratio*notRunFraction, r.Window, saved),
-		mayRun: service.NewRetryBudget(r.Ratio*mayRunFraction, mayRunSaved),
-	}
+	e := d.newEndpoints()
 	d.refreshEndpoints(name, e)
 	actual, loaded := d.services.LoadOrStore(name, e)
 	if !loaded {
@@ -74,6 +68,17 @@
 	return actual.(*endpoints)
 }
 
+// newEndpoints returns a picker without endpoints and full retry budgets.
+func (d *Daemon) newEndpoints() *endpoints {
+	r := d.settings.Retries
+	saved := max(int(notRunSlackFraction*r.Slack)/max(len(*d.members.Load()), 1), minNotRunSaved)
+	return &endpoints{
+		picker: service.NewPicker(d.epoch, pickerConfig(), d.location, rand.Uint64()),
+		notRun: service.NewWindowBudget(r.Ratio*notRunFraction, r.Window, saved),
+		mayRun: service.NewRetryBudget(r.Ratio*mayRunFraction, mayRunSaved),
+	}
+}
+
 // Cost of transferring 1 KiB, expressed as caller waiting time. A request is worth
 // about one second of waiting. Links between regions are expensive and billed by
 // volume.
