service: test explained probabilities of cold endpoints

The probabilities of cold endpoints were compared with nothing. Each real decision is made on its own copy, as it may take the endpoint's token.

--- a/service/explain_test.go
+++ b/service/explain_test.go
@@ -60,20 +60,16 @@
 			require.NoError(t, err)
 			counts[e.Peer]++
 		}
+		requireChances(t, x, counts, draws, decisions)
 		total, uneven := x.Refused, 0
 		for _, e := range x.Endpoints {
 			total += e.Probability
-			// Four standard deviations of the difference of the two samples.
-			q := max(e.Probability, 1.0/draws)
-			bound := 4 * math.Sqrt(q*(1-min(q, 1-1.0/draws))*(1.0/draws+1.0/decisions))
-			require.InDelta(t, e.Probability, float64(counts[e.Endpoint.Peer])/decisions, bound, e.Endpoint.Peer)
 			if e.Probability > 0 {
 				uneven++
 			}
 		}
 		require.InDelta(t, 1, total, 1e-6)
 		require.Greater(t, uneven, 2, "the case must be one with several possible choices")
-		t.Logf("tried %v: explained %v, %d real decisions %v", tried, chances(x), decisions, counts)
 	}
 	x := p.Explain(now, rng(), call, nil, draws)
 	for _, e := range x.Endpoints {
@@ -116,6 +112,29 @@
 		require.True(t, x.Endpoints[1].Cold)
 	}
 	require.Equal(t, before, stateText(p))
+
+	// Each real decision may take a token, so that each is made on its own copy.
+	const draws, decisions = 2000, 1000
+	p.Begin("f1:1")
+	x, r, counts := p.Explain(now, rng(), call, nil, draws), rand.New(rand.NewPCG(7, 8)), map[string]int{}
+	for range decisions {
+		e, _, err := p.Clone().Pick(now, r, call, nil)
+		require.NoError(t, err)
+		counts[e.Peer]++
+	}
+	requireChances(t, x, counts, draws, decisions)
+}
+
+// requireChances compares explained probabilities with the numbers of real decisions:
+// four standard deviations of the difference of two samples.
+func requireChances(t *testing.T, x Explanation, counts map[string]int, draws, decisions float64) {
+	t.Helper()
+	for _, e := range x.Endpoints {
+		q := min(max(e.Probability, 1/draws), 1-1/draws)
+		bound := 4 * math.Sqrt(q*(1-q)*(1/draws+1/decisions))
+		require.InDelta(t, e.Probability, float64(counts[e.Endpoint.Peer])/decisions, bound, e.Endpoint.Peer)
+	}
+	t.Logf("explained %v, real decisions %v", chances(x), counts)
 }
 
 // stateText returns all state of a picker that decisions use or change.
