--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -84,7 +84,7 @@
 // endpoints.
 func (c *control) configureCold() {
 	t := c.d.table.Load()
-	cfg := coldConfig(t.Service(c.d.settings.Service))
+	cfg := c.d.settings.coldConfig(t.Service(c.d.settings.Service))
 	was := c.d.gate.ColdState().On
 	c.d.gate.ConfigureCold(cfg)
 	if !was && cfg.Rate > 0 && c.cold.told {
@@ -92,7 +92,7 @@
 		c.d.gate.HearCold(backend.ColdWord{Source: backend.ColdHeartbeat, Remaining: max(left, 0)})
 	}
 	before := c.d.coldServices.of(c.d.settings.Service)
-	if !c.d.coldServices.update(t) {
+	if !c.d.coldServices.update(&c.d.settings, t) {
 		return
 	}
 	if before.Pace == 0 && cfg.Pace > 0 && c.local.StartMs() > 0 {
@@ -102,11 +102,19 @@
 }
 
 // coldConfig returns what a configuration says about cold backend servers of a service.
-func coldConfig(s *routing.Service) backend.ColdConfig {
-	if s == nil {
+//
+// The rate is at most half of what the settings allow in any second: a call counts from
+// when the gate starts it and reaches the backend server up to backendDialTimeout later,
+// so that the calls of two windows may arrive in one second.
+func (s *Settings) coldConfig(x *routing.Service) backend.ColdConfig {
+	if x == nil {
 		return backend.ColdConfig{}
 	}
-	return backend.ColdConfig{Rate: s.ColdRate, Start: s.ColdStart, Pace: s.ColdStart}
+	rate := x.ColdRate
+	if bound := s.ColdOvershoot*x.ColdRate + s.ColdSlack; rate > 0 && bound > 0 {
+		rate = min(rate, max(bound/2, 1))
+	}
+	return backend.ColdConfig{Rate: rate, Start: x.ColdStart, Pace: x.ColdStart}
 }
 
 // coldServices holds what the configuration says about cold backend servers, by service.
@@ -116,12 +124,12 @@
 }
 
 // update reads a configuration, and reports whether anything changed.
-func (s *coldServices) update(t *routing.Table) (changed bool) {
+func (s *coldServices) update(settings *Settings, t *routing.Table) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := make(map[string]backend.ColdConfig)
 	for _, x := range t.ColdServices() {
-		known[x.Name] = coldConfig(x)
+		known[x.Name] = settings.coldConfig(x)
 	}
 	changed = !maps.Equal(known, s.known)
 	s.known = known
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -190,3 +190,23 @@
 	beat(d, "b", 100, 4, 0)
 	require.Zero(t, d.self().ColdUntil)
 }
+
+// Failure: calls whose connections take long to open reach a cold backend server together
+// with those of the next second, and exceed the bound of the deployment.
+func TestRateOfColdBackendsIsAtMostHalfOfTheBound(t *testing.T) {
+	for _, x := range []struct{ rate, overshoot, slack, want float64 }{
+		{14, 1.5, 8, 14},
+		{16, 1.5, 8, 16},
+		{60, 1.5, 8, 49},
+		{60, 0, 0, 60}, // the settings give no bound
+		{4, 1, 0, 2},
+		{0, 1.5, 8, 0},
+	} {
+		s := Settings{ColdOvershoot: x.overshoot, ColdSlack: x.slack}
+		got := s.coldConfig(&routing.Service{ColdRate: x.rate}).Rate
+		require.Equal(t, x.want, got)
+		if x.overshoot+x.slack > 0 {
+			require.LessOrEqual(t, 2*got, x.rate*x.overshoot+x.slack)
+		}
+	}
+}
