ingress: of the largest holders the one without progress longest is cut

Callers that read at full speed got a cut answer when the memory for callers was over its limit and no reader had been without progress for a second yet: the largest holder was cut, which was the caller that had just begun to read, by 150 bytes of its head.

--- a/ingress/account.go
+++ b/ingress/account.go
@@ -37,7 +37,7 @@
 const (
 	nobody  choice = iota
 	stalled        // the reader without progress longest
-	largest        // the largest holder
+	largest        // of the largest holders the one without progress longest
 	slow           // the largest holder of those that read slowly
 )
 
@@ -45,7 +45,7 @@
 // progress while new requests are refused or bytes are wanted for other answers, then a
 // slow one while bytes are wanted, any other only above the limit.
 func chooseVictim(holders []holder, limit, wanted int64) (i int, why choice) {
-	total, still, late, big := int64(0), -1, -1, -1
+	total, still, late, most := int64(0), -1, -1, int64(0)
 	for i, h := range holders {
 		total += h.bytes
 		if h.bytes <= 0 {
@@ -57,9 +57,7 @@
 		if h.writing >= slowWrite && (late < 0 || h.bytes > holders[late].bytes) {
 			late = i
 		}
-		if big < 0 || h.bytes > holders[big].bytes {
-			big = i
-		}
+		most = max(most, h.bytes)
 	}
 	switch {
 	case total < refuseLevel(limit) && wanted <= 0:
@@ -67,12 +65,28 @@
 		return still, stalled
 	case wanted > 0 && late >= 0:
 		return late, slow
-	case total > limit && holders[big].bytes > limit/int64(len(holders)):
-		return big, largest
+	case total > limit && most > limit/int64(len(holders)):
+		return largestHolder(holders, most), largest
 	}
 	return -1, nobody
 }
 
+// largestHolder returns the one without progress longest of the holders with at least
+// half of most bytes. By the bytes alone, a caller that has just begun to read would be
+// cut for a few bytes more than those that do not read.
+func largestHolder(holders []holder, most int64) int {
+	found := -1
+	for i, h := range holders {
+		if h.bytes < most/2 || h.bytes <= 0 {
+			continue
+		}
+		if found < 0 || h.stalled > holders[found].stalled || h.stalled == holders[found].stalled && h.bytes > holders[found].bytes {
+			found = i
+		}
+	}
+	return found
+}
+
 // relieveAboveLimit cuts callers if more bytes are held than the limit allows.
 func (s *Server) relieveAboveLimit() {
 	if limit := s.opt.Limits().HeldBytes; s.held.Load() > limit {
--- a/ingress/limits_test.go
+++ b/ingress/limits_test.go
@@ -253,6 +253,7 @@
 		{[]int64{10, 20, 80}, []time.Duration{9 * s, 2 * s, 0}, 100, 0},
 		{[]int64{0, 20, 81}, []time.Duration{9 * s, 2 * s, 0}, 100, 1},
 		{[]int64{30, 20, 60}, []time.Duration{0, 999 * ms, 0}, 100, 2},
+		{[]int64{50, 52, 51}, []time.Duration{300 * ms, 0, 200 * ms}, 100, 0}, // not the one that has just begun to read
 		{nil, nil, 100, -1},
 	} {
 		require.Equal(t, x.want, ingress.ChooseVictimForTest(x.bytes, x.stalled, x.limit), x)
