--- a/review/lab-2/heads.go
+++ b/review/lab-2/heads.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -20,7 +22,10 @@
 	headsClients  = 400    // connections of clients to each daemon
 	headsBytes    = 16_000 // bytes of the header fields of a request; maxHeaderBytes is 16384
 	headsFor      = 30 * time.Second
-	endsToBreak   = 3 // ends of its own in the day, on each of two machines
+
+	aheadClients  = 1500 // connections of clients to each daemon
+	aheadRequests = 16  // requests that a client sends at a time
+	endsToBreak   = 3   // ends of its own in the day, on each of two machines
 )
 
 // anonMB returns the anonymous memory of a process in MB.
@@ -79,6 +84,31 @@
 // headsCase sends requests whose heads are inside the limits of the configuration and
 // consist of many short fields.
 func headsCase(binary, folder string, trouble bool) int {
+	fields := strings.Repeat("a:1\r\n", headsBytes/5)
+	if !trouble {
+		fields = "A: " + strings.Repeat("1", headsBytes-5) + "\r\n"
+	}
+	return crowdCase(binary, folder, crowd{clients: headsClients, fields: fields, ahead: 1})
+}
+
+// aheadCase sends requests without waiting for the answers of those before.
+func aheadCase(binary, folder string, trouble bool) int {
+	c := crowd{clients: aheadClients, ahead: aheadRequests}
+	if !trouble {
+		c.ahead = 1
+	}
+	return crowdCase(binary, folder, c)
+}
+
+// crowd is a crowd of clients beside each daemon, with one connection each.
+type crowd struct {
+	clients int
+	fields  string // header fields of each request, besides those that it needs
+	ahead   int    // requests that a client sends before it waits for their answers
+}
+
+// crowdCase counts how often daemons exceed their memory beside a crowd of clients.
+func crowdCase(binary, folder string, cr crowd) int {
 	rec := newRecord(filepath.Join(folder, "record.txt"))
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -117,11 +147,8 @@
 		return 2
 	}
 	time.Sleep(time.Second)
-	fields := strings.Repeat("a:1\r\n", headsBytes/5)
-	if !trouble {
-		fields = "A: " + strings.Repeat("1", headsBytes-5) + "\r\n"
-	}
-	rec.line("%d clients beside each of %d daemons, %d bytes of header fields in %d fields", headsClients, len(ds), len(fields), strings.Count(fields, "\r\n"))
+	rec.line("%d clients beside each of %d daemons, %d bytes of further header fields in %d fields, %d requests at a time",
+		cr.clients, len(ds), len(cr.fields), strings.Count(cr.fields, "\r\n"), cr.ahead)
 	stop := make(chan struct{})
 	var answered [1000]atomic.Int64
 	var broken atomic.Int64
@@ -129,7 +156,7 @@
 	ends := make([]int, len(ds))
 	for i, d := range ds {
 		watches.Go(func() { ends[i] = watchMemory(d, rec, stop) })
-		for n := range headsClients {
+		for n := range cr.clients {
 			clients.Go(func() {
 				for k := 0; ; k++ {
 					select {
@@ -137,7 +164,7 @@
 						return
 					default:
 					}
-					if !headsClient(d, fmt.Sprintf("h%d-%d-%d", i, n, k), fields, stop, &answered) {
+					if !cr.client(d, fmt.Sprintf("h%d-%d-%d", i, n, k), stop, &answered) {
 						broken.Add(1)
 					}
 					time.Sleep(100 * time.Millisecond)
@@ -168,9 +195,9 @@
 	return 0
 }
 
-// headsClient sends requests on one connection, each after the answer to the one before,
-// until the connection ends. It returns false when a request got no answer.
-func headsClient(d *daemon, id, fields string, stop chan struct{}, answered *[1000]atomic.Int64) bool {
+// client sends requests on one connection until it ends, some at a time. It returns
+// false when a request got no answer.
+func (cr *crowd) client(d *daemon, id string, stop chan struct{}, answered *[1000]atomic.Int64) bool {
 	// Another address than the daemon's keeps the ports of its listeners free.
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9)}}
 	c, err := dialer.Dial("tcp", d.outbound)
@@ -186,17 +213,31 @@
 		default:
 		}
 		_ = c.SetDeadline(time.Now().Add(6 * time.Second))
-		fmt.Fprintf(c, "GET /proof/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s-%d\r\nX-Deadline-Ms: 6000\r\n%s\r\n", host, id, n, fields)
-		resp, err := http.ReadResponse(br, nil)
-		if err != nil {
+		var requests bytes.Buffer
+		for k := range cr.ahead {
+			fmt.Fprintf(&requests, "GET /proof/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s-%d-%d\r\nX-Deadline-Ms: 6000\r\n%s\r\n", host, id, n, k, cr.fields)
+		}
+		if _, err := c.Write(requests.Bytes()); err != nil {
 			return false
 		}
-		resp.Body.Close()
-		answered[resp.StatusCode%1000].Add(1)
-		if resp.Close {
-			return true
+		refused := false
+		for range cr.ahead {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return false
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				return false
+			}
+			answered[resp.StatusCode%1000].Add(1)
+			refused = refused || resp.StatusCode != http.StatusOK
+			if resp.Close {
+				return true
+			}
 		}
-		if resp.StatusCode != http.StatusOK {
+		if refused {
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -20,6 +20,7 @@
 // and whether the disruption takes place.
 var cases = map[string]func(binary, folder string, trouble bool) int{
 	"heads":   headsCase,
+	"ahead":   aheadCase,
 	"drain":   drainCase,
 	"foreign": foreignCase,
 }
