--- a/review/lab-2/heads.go
+++ b/review/lab-2/heads.go
@@ -24,8 +24,8 @@
 	headsFor      = 30 * time.Second
 
 	aheadClients  = 1500 // connections of clients to each daemon
-	aheadRequests = 16  // requests that a client sends at a time
-	endsToBreak   = 3   // ends of its own in the day, on each of two machines
+	aheadRequests = 16   // requests that a client sends at a time
+	endsToBreak   = 3    // ends of its own in the day, on each of two machines
 )
 
 // anonMB returns the anonymous memory of a process in MB.
