sidecar: a leaving is acknowledged once the store has it

Cause: the acknowledgement was given when the state was in memory; the row in the store was written at a later tick. Ruled out: the restarted daemon misread nothing, its row still said ready.

Change: a heartbeat or deregistration that tells of a leaving starts the write of the row and is acknowledged when the store has confirmed it, or when it is read back after a lost answer; after 0.85 s it is answered 503. Requests avoid the backend server from the first call on, as before.

--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -290,8 +290,22 @@
 }
 
 // handleHeartbeat handles a heartbeat of the local backend server. It reports whether
-// the heartbeat may be acknowledged.
-func (c *control) handleHeartbeat(h membership.Heartbeat) bool {
+// the heartbeat may be acknowledged. If stored is not nil, that is only the case once
+// it is closed: the acknowledgement of a leaving must hold even if all daemons end right
+// after it and an earlier heartbeat arrives late.
+func (c *control) handleHeartbeat(h membership.Heartbeat) (taken bool, stored <-chan struct{}) {
+	taken = c.applyHeartbeat(h)
+	if !taken || h.State < membership.Draining || h.ID != c.local.ID() {
+		return taken, nil
+	}
+	stored = c.row.leavingStored()
+	c.row.tick(sinceBoot())
+	return taken, stored
+}
+
+// applyHeartbeat updates the state of the local backend server from a heartbeat. It
+// reports whether the state reflects it.
+func (c *control) applyHeartbeat(h membership.Heartbeat) bool {
 	before, accepted := c.local.State(), c.local.Accepted()
 	changed, restarted := c.local.HandleHeartbeat(h)
 	coldnessChanged := c.local.Accepted() != accepted && c.hearHeartbeat(h, restarted)
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -18,10 +18,15 @@
 
 	// maxHealthBytes limits the bytes that are read of a response to a health check.
 	maxHealthBytes = 64 << 10
+
+	// leavingStoreWait limits how long a heartbeat that says that the backend server is
+	// leaving waits for the store. Backend servers wait one second for the
+	// acknowledgement and then send the heartbeat again.
+	leavingStoreWait = 850 * time.Millisecond
 )
 
-// serveLocalCall handles heartbeats of the local backend server. It never waits for
-// the store.
+// serveLocalCall handles heartbeats of the local backend server. Only the one that says
+// that the backend server is leaving waits for the store.
 func (d *Daemon) serveLocalCall(hc *fasthttp.RequestCtx) {
 	h, err := d.dialect.ParseHeartbeat(string(hc.Path()), hc.PostBody())
 	if err != nil {
@@ -29,8 +34,10 @@
 		hc.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
 		return
 	}
-	taken := false
-	if !d.control.postAndWait(d.background, func() { taken = d.control.handleHeartbeat(h) }) {
+	deadline := time.NewTimer(leavingStoreWait)
+	defer deadline.Stop()
+	taken, stored := false, (<-chan struct{})(nil)
+	if !d.control.postAndWait(d.background, func() { taken, stored = d.control.handleHeartbeat(h) }) {
 		hc.Error("the daemon is stopping\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -39,6 +46,19 @@
 		hc.Error("the heartbeat is not newer than an earlier one: send it with the start time and a higher sequence\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if stored != nil {
+		select {
+		case <-stored:
+		case <-deadline.C:
+			d.metrics.leavingsUnstored.Inc()
+			d.log.Warn("leaving not acknowledged: the store has not confirmed it", "id", h.ID, "born", h.StartMs, "sequence", h.Sequence, "state", h.State.String())
+			hc.Error("the store has not confirmed the leaving yet, no new requests are sent meanwhile: send the heartbeat again\n", fasthttp.StatusServiceUnavailable)
+			return
+		case <-d.background.Done():
+			hc.Error("the daemon is stopping\n", fasthttp.StatusServiceUnavailable)
+			return
+		}
+	}
 	hc.SetContentType("application/json")
 	hc.SetBody(d.dialect.HeartbeatResponse())
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -24,6 +24,7 @@
 	rowsIgnored            *metrics.Counter // rows read that are no entries of daemons
 	entriesIgnored         *metrics.Counter // invalid entries in messages of other daemons
 	messagesIgnored        *metrics.Counter // control messages with values out of range
+	leavingsUnstored       *metrics.Counter // heartbeats of a leaving backend server that were not acknowledged for want of the store
 	panics                 *metrics.Counter // panics that ended one request or event
 
 	routine lineLimiter
@@ -38,6 +39,7 @@
 	m.rowsIgnored = m.set.NewCounter("rows_ignored_total")
 	m.entriesIgnored = m.set.NewCounter("entries_ignored_total")
 	m.messagesIgnored = m.set.NewCounter("messages_ignored_total")
+	m.leavingsUnstored = m.set.NewCounter("leavings_unstored_total")
 	m.panics = m.set.NewCounter("panics_total")
 	m.routine.limit, m.trouble.limit = routineLinesPerSecond, troubleLinesPerSecond
 	return m
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -38,13 +38,15 @@
 type rowWriter struct {
 	c            *control
 	pending      *membership.Entry // newest entry, nil when nothing has to be written
-	written      *membership.Entry // entry written last
+	written      *membership.Entry // entry that the store confirmed last
 	version      uint64            // version of the row in the store, 0 when there is no row
 	loaded       bool              // the rows of all daemons have been read since this daemon wrote its own
 	versionKnown bool              // version is known
 	busy         bool              // a round is in progress
 	firstTick    time.Duration     // time of the first tick
 	nextRound    time.Duration     // earliest time of the next round
+	confirming   bool              // the round in progress only follows a lost answer
+	leaving      chan struct{}     // closed when the store has confirmed that the backend server is leaving, nil when nobody waits for that
 }
 
 // requestWrite schedules a write of e, unless e differs from the entry written last
@@ -60,6 +62,27 @@
 	r.pending = e
 }
 
+// leavingStored returns a channel that is closed once the store has confirmed that the
+// current incarnation of the backend server is leaving.
+func (r *rowWriter) leavingStored() <-chan struct{} {
+	if r.leaving == nil {
+		r.leaving = make(chan struct{})
+	}
+	stored := r.leaving
+	r.notifyLeavingStored()
+	return stored
+}
+
+// notifyLeavingStored closes the channel of leavingStored if the store has confirmed it.
+func (r *rowWriter) notifyLeavingStored() {
+	w, local := r.written, r.c.local
+	if r.leaving == nil || w == nil || membership.State(w.State) < membership.Draining || w.Backend != local.ID() || w.Born != local.StartMs() {
+		return
+	}
+	close(r.leaving)
+	r.leaving = nil
+}
+
 // tick starts a round of calls to the store when one is due.
 func (r *rowWriter) tick(now time.Duration) {
 	if r.busy || now < r.nextRound || (r.loaded && r.pending == nil) {
@@ -111,6 +134,10 @@
 		r.c.post(func() { r.mergeRows(entries) })
 	}
 	for _, x := range res.entries {
+		if proto.Equal(x, e) {
+			res.loaded = true
+			return res // an earlier round has written it, and its answer was lost
+		}
 		// Written over a row that tells of the backend server's leaving, an entry
 		// built before that was known would lose it if this daemon ended soon.
 		if x.Peer == e.Peer && (x.Incarnation > e.Incarnation || membership.LeavingForgotten(x, e)) {
@@ -187,7 +214,14 @@
 	if !errors.As(res.err, &conflict) {
 		r.c.storeAnswered("rows", res.err)
 	}
-	if res.err != nil {
+	var lost *platform.AmbiguousError
+	switch {
+	case res.err == nil:
+		r.confirming = false
+	case errors.As(res.err, &lost) && r.leaving != nil && !r.confirming:
+		r.confirming = true // the next round finds out at once whether the row was written
+	default:
+		r.confirming = false
 		r.nextRound = sinceBoot() + rowRetryDelay
 	}
 	if res.err == nil && !res.outdated {
@@ -204,6 +238,10 @@
 	if r.loaded && !wasLoaded {
 		r.c.announce()
 	}
+	r.notifyLeavingStored()
+	if r.leaving != nil && !res.outdated {
+		r.tick(sinceBoot())
+	}
 }
 
 // mergeRows merges the entries of all daemons into the directory. It does not wait
