fleet: the row of a leaving backend server outlives its daemon by a minute

After a restart a late heartbeat reopened the backend server.

Change: the row is marked as removed, which makes it no member, and deleted after a minute by the reader of the region.

Before: TestLeavingSurvivesAPlannedRestartOfAllDaemons found requests at the backend server, TestRowOfALeavingBackendIsKeptForAMinute the row deleted.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,11 @@
 	RemoveAfter     = 6 * time.Second         // time without messages after which a daemon is removed; by then it refuses requests with a key, so its share of the rate limits is free
 	mergePause      = time.Second             // minimum time between two requests for a complete directory
 
+	// leavingRowRetention is how long the row of a removed daemon is kept whose backend
+	// server was leaving. A daemon that starts again at the address learns from it that
+	// heartbeats of before are out of date, which arrive up to some seconds late.
+	leavingRowRetention = time.Minute
+
 	// never stands for an event that has not happened. It is earlier than any
 	// time of the clock.
 	never = time.Duration(-1 << 62)
@@ -49,7 +54,7 @@
 	DirectoryChanged()
 
 	// DeleteRow deletes the row of a removed daemon from the store. entry is the
-	// entry that marks its incarnation as removed.
+	// entry that marks its incarnation as removed. A row of a later incarnation is kept.
 	DeleteRow(entry *membership.Entry)
 
 	// Restore is called with an entry for this daemon's address that an earlier
@@ -92,6 +97,8 @@
 	reading      bool
 	readAt       time.Duration
 	lastHeard    map[string]time.Duration // arrival of the last message from each peer
+	keptRows     map[string]keptRow       // rows of removed daemons that are deleted later
+	removals     bool                     // an entry that marks a daemon as removed has been merged since keptRows was updated
 	sourceSince  time.Duration            // time since which this daemon has read the store for its region; never if it does not
 	repairedAt   time.Duration
 	mergedAt     time.Duration
@@ -109,6 +116,7 @@
 		suspect:     make(map[string]time.Duration),
 		stale:       make(map[string]time.Duration),
 		lastHeard:   make(map[string]time.Duration),
+		keptRows:    make(map[string]keptRow),
 		sourceSince: never,
 		confirmed:   never,
 		readAt:      never,
@@ -141,6 +149,7 @@
 	}
 	f.repairWithoutStore(now, age)
 	source := f.source(now)
+	f.deleteKeptRows(now, source == f.self.Peer)
 	if source == f.self.Peer {
 		if now-f.readAt >= RefreshInterval {
 			f.read(now)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -392,3 +392,33 @@
 	ready := &membership.Entry{Service: "s", Backend: "i-1", Born: 100, State: uint32(membership.Ready)}
 	require.False(t, membership.LeavingForgotten(ready, &membership.Entry{Service: "s"}))
 }
+
+// Failure: the row of a daemon that was removed, and with it the only record that its
+// backend server had left, is deleted while heartbeats of before may still arrive; or it
+// is never deleted.
+func TestRowOfALeavingBackendIsKeptForAMinute(t *testing.T) {
+	for name, c := range map[string]struct {
+		state   membership.State
+		planned bool
+		kept    bool
+	}{
+		"ready, lost":          {membership.Ready, false, false},
+		"gone, lost":           {membership.Gone, false, true},
+		"draining, lost":       {membership.Draining, false, true},
+		"gone, stopped itself": {membership.Gone, true, true},
+	} {
+		w := newSimulation(t, 1, 6)
+		w.run(5 * time.Second)
+		d := w.daemons[5]
+		last := proto.Clone(d.fleet.self).(*membership.Entry)
+		last.Sequence, last.Service, last.Backend, last.Born, last.State = 1, "s", "i-1", 100, uint32(c.state)
+		last.Leaving, last.Removed = c.planned, c.planned
+		d.fleet.Announce(last)
+		w.run(w.now + time.Second)
+		w.paused = func(peer string) bool { return peer == d.peer }
+		w.run(w.now + RemoveAfter + 5*time.Second)
+		require.Equal(t, c.kept, !slices.Contains(w.removed, d.peer), name)
+		w.run(w.now + leavingRowRetention)
+		require.True(t, slices.Contains(w.removed, d.peer), name)
+	}
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -26,11 +26,50 @@
 		gone.Removed = true
 		f.dir.Merge(gone)
 		f.broadcast(gone)
-		f.out.DeleteRow(gone)
+		if isLeaving(gone) {
+			f.removals = true
+		} else {
+			f.out.DeleteRow(gone)
+		}
 		f.out.DirectoryChanged()
 	}
 }
 
+// isLeaving reports whether the backend server of an entry is draining or gone.
+func isLeaving(e *membership.Entry) bool { return membership.State(e.State) >= membership.Draining }
+
+// keptRow is the row of a removed daemon whose backend server was leaving.
+type keptRow struct {
+	entry    *membership.Entry // marks the daemon as removed
+	deleteAt time.Duration
+	done     bool
+}
+
+// deleteKeptRows deletes the rows of this region's removed daemons whose retention has
+// ended. Each daemon keeps track of them, so that any can become the one that does it.
+func (f *Fleet) deleteKeptRows(now time.Duration, isSource bool) {
+	if f.removals {
+		f.removals = false
+		for _, e := range f.dir.All() {
+			if e.Removed && isLeaving(e) && e.Region == f.self.Region && f.keptRows[e.Peer].entry != e {
+				f.keptRows[e.Peer] = keptRow{entry: e, deleteAt: now + leavingRowRetention}
+			}
+		}
+	}
+	for peer, k := range f.keptRows {
+		switch {
+		case f.dir.Get(peer) != k.entry: // the daemon has started again
+			delete(f.keptRows, peer)
+		case !k.done && now >= k.deleteAt:
+			k.done = true
+			f.keptRows[peer] = k
+			if isSource {
+				f.out.DeleteRow(k.entry)
+			}
+		}
+	}
+}
+
 // sidecars returns a message with entries. wantAll asks the receiver for its
 // complete directory.
 func (f *Fleet) sidecars(entries []*membership.Entry, wantAll bool) *wire.Fleet {
@@ -71,6 +110,7 @@
 		}
 		if f.dir.Merge(e) {
 			changed = true
+			f.removals = f.removals || e.Removed
 			delete(f.suspect, e.Peer)
 		}
 	}
--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,3 +88,26 @@
 	require.Equal(t, membership.Gone, d.stateInStore(n))
 	d.requireUnused(n)
 }
+
+// Failure: the daemons stop as planned beside a backend server that has left and still
+// serves, start again without a trace of the leaving, and take a late heartbeat for a new
+// one.
+func TestLeavingSurvivesAPlannedRestartOfAllDaemons(t *testing.T) {
+	d := deploy(t, archive(), archive())
+	n := d.nodes[0]
+	require.True(t, n.backend.Deregister())
+	var stops sync.WaitGroup
+	for _, m := range d.nodes {
+		stops.Go(m.daemon.Shutdown)
+	}
+	stops.Wait()
+	for _, m := range d.nodes {
+		m.client.Close()
+		d.start(m)
+	}
+	for _, m := range d.nodes {
+		d.awaitReady(m, 1)
+	}
+	d.requireUnused(n)
+	require.Equal(t, membership.Gone, d.stateInStore(n))
+}
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -152,16 +152,13 @@
 	}
 	v, err := r.c.d.store.Commit(ctx, platform.Tx{
 		Conditions: []platform.Condition{{Table: daemonTable, Key: e.Peer, Version: res.version}},
-		Writes:     []platform.Write{{Table: daemonTable, Key: e.Peer, Value: value, Delete: e.Removed}},
+		Writes:     []platform.Write{{Table: daemonTable, Key: e.Peer, Value: value}},
 	})
 	if err != nil {
 		res.err, res.versionKnown = err, false
 		return res
 	}
 	res.version = v
-	if e.Removed {
-		res.version = 0
-	}
 	if !loaded {
 		res.err = r.read(ctx, e.Peer, &res)
 		res.loaded = res.err == nil
