membership: a report without a start time replaces no backend server that gives one

Cause: such a report was ignored only under the known id. On a related path, one that came before a restarted daemon had read its row hid the row.

Change: once a start time is known, a heartbeat without one changes nothing; a stored leaving with a start time prevails over a backend server without one.

--- a/membership/local.go
+++ b/membership/local.go
@@ -60,8 +60,8 @@
 	if h.StartMs != 0 && h.StartMs < l.startMs {
 		return false, false
 	}
-	if h.State != Gone && h.StartMs == 0 && l.startMs != 0 && h.ID == l.id {
-		return false, false // of another writer: this backend server gives its start time in every heartbeat
+	if h.State != Gone && h.StartMs == 0 && l.startMs != 0 {
+		return false, false // of another writer: backend servers here give their start time in every heartbeat
 	}
 	otherIncarnation := h.ID != l.id || h.StartMs > l.startMs && (l.startMs != 0 || l.heartbeatSeen)
 	if h.State == Gone && otherIncarnation && l.id != "" && h.StartMs <= l.startMs {
@@ -142,15 +142,19 @@
 		l.slots = int(e.Slots)
 	}
 	state := State(e.State)
-	if state != Draining && state != Gone || state <= l.state || !l.isIncarnation(e) {
+	if state != Draining && state != Gone || l.id == e.Backend && state <= l.state || !l.isCovered(e) {
 		return false
 	}
 	l.id, l.startMs, l.state = e.Backend, e.Born, state
 	return true
 }
 
-// isIncarnation reports whether an entry is about the known backend server, or none is
-// known.
-func (l *Local) isIncarnation(e *Entry) bool {
-	return l.id == "" || l.id == e.Backend && (l.startMs == e.Born || l.startMs == 0)
+// isCovered reports whether an entry is about the known backend server, or about one
+// with a start time while that of the known one was not given. The latter may come from
+// another writer; if it is a successor, its next heartbeat proves that.
+func (l *Local) isCovered(e *Entry) bool {
+	if l.startMs == 0 && e.Born != 0 {
+		return true
+	}
+	return l.id == "" || l.id == e.Backend && l.startMs == e.Born
 }
