httpclient: the client of a backend server gets a package of its own

It moves from package backend without a change of behaviour, so that the client of the store can use it. httpclient.Config and New were backend.ClientConfig and NewClient.

--- a/caller/watch.go
+++ b/caller/watch.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 )
 
 // Watcher cancels requests whose caller has closed its connection. fasthttp does
@@ -66,7 +66,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for r := range w.requests {
-		if !backend.Alive(r.conn) {
+		if !httpclient.Alive(r.conn) {
 			r.cancel()
 			delete(w.requests, r)
 		}
--- a/backend/client.go
+++ b/httpclient/client.go
@@ -1,4 +1,4 @@
-package backend
+package httpclient
 
 import (
 	"bufio"
@@ -18,8 +18,8 @@
 	"wisteriafold/request"
 )
 
-// ClientConfig configures the HTTP connections to one backend server.
-type ClientConfig struct {
+// Config configures the HTTP connections to one backend server.
+type Config struct {
 	Address        string        // host:port of the backend server
 	MaxConnections int           // maximum number of open connections, including idle ones; DoRaw with a MaxIdle may exceed it
 	DialTimeout    time.Duration // time limit for opening one connection
@@ -44,7 +44,7 @@
 	OnEnded func(idle time.Duration)
 }
 
-// defaultMaxAnswerBytes is the default of ClientConfig.MaxAnswerBytes.
+// defaultMaxAnswerBytes is the default of Config.MaxAnswerBytes.
 const defaultMaxAnswerBytes = 16 << 20
 
 const (
@@ -59,7 +59,7 @@
 // safe for concurrent use. Cancelling a call closes its connection, because
 // HTTP/1.1 has no other way to signal the cancellation to the backend server.
 type Client struct {
-	cfg   ClientConfig
+	cfg   Config
 	slots chan struct{} // semaphore: one element for each connection in use
 
 	mu     sync.Mutex
@@ -98,8 +98,8 @@
 	return n, err
 }
 
-// NewClient returns a client without open connections.
-func NewClient(cfg ClientConfig) *Client {
+// New returns a client without open connections.
+func New(cfg Config) *Client {
 	if cfg.MaxAnswerBytes <= 0 {
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
--- a/backend/endless_test.go
+++ b/httpclient/endless_test.go
@@ -1,4 +1,4 @@
-package backend
+package httpclient
 
 import (
 	"context"
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := endless(t, script[0], script[1])
-			c := NewClient(ClientConfig{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: limit})
+			c := New(Config{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: limit})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
@@ -104,7 +104,7 @@
 // together.
 func TestAnswersBeingReadAreBoundedTogether(t *testing.T) {
 	address, _ := endless(t, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n", "body")
-	c := NewClient(ClientConfig{Address: address, MaxConnections: 8, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 64 << 20, MaxHeldBytes: 1 << 20})
+	c := New(Config{Address: address, MaxConnections: 8, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 64 << 20, MaxHeldBytes: 1 << 20})
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -133,7 +133,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := endless(t, script[0], script[1])
-			c := NewClient(ClientConfig{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
+			c := New(Config{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
--- a/backend/meter_test.go
+++ b/httpclient/meter_test.go
@@ -1,4 +1,4 @@
-package backend
+package httpclient
 
 import (
 	"context"
@@ -59,7 +59,7 @@
 func memoryClient(t *testing.T, head string) (*Client, *memaccount.Part, *atomic.Int64) {
 	address, received := answering(t, head+strings.Repeat("x", answerSize))
 	p := memaccount.New(roomForOne).Part(roomForOne)
-	c := NewClient(ClientConfig{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, Answers: p})
+	c := New(Config{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, Answers: p})
 	t.Cleanup(c.Close)
 	return c, p, received
 }
@@ -140,7 +140,7 @@
 func TestBodyOfAnUnacceptedResponseIsNotRead(t *testing.T) {
 	const socketBuffers = 16 << 20 // bytes that the kernel takes from the server at most
 	address, sent := endless(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "body")
-	c := NewClient(ClientConfig{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 64 << 20})
+	c := New(Config{Address: address, MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 64 << 20})
 	defer c.Close()
 	call := rawCall("1", 3)
 	refused := request.NewUnknownError(request.ReasonBroken, "no id", nil)
--- a/backend/raw.go
+++ b/httpclient/raw.go
@@ -1,4 +1,4 @@
-package backend
+package httpclient
 
 import (
 	"context"
--- a/backend/raw_test.go
+++ b/httpclient/raw_test.go
@@ -1,4 +1,4 @@
-package backend
+package httpclient
 
 import (
 	"bufio"
@@ -64,7 +64,7 @@
 			_ = conn.Close()
 		}
 	}()
-	c := NewClient(ClientConfig{Address: ln.Addr().String(), MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
+	c := New(Config{Address: ln.Addr().String(), MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
 	t.Cleanup(func() {
 		_ = ln.Close()
 		c.Close()
@@ -234,7 +234,7 @@
 		_, _ = io.WriteString(conn, ok("1", "too long"))
 		<-release
 	}()
-	c := NewClient(ClientConfig{Address: ln.Addr().String(), MaxConnections: 1, DialTimeout: time.Second, IdleTimeout: time.Minute})
+	c := New(Config{Address: ln.Addr().String(), MaxConnections: 1, DialTimeout: time.Second, IdleTimeout: time.Minute})
 	defer c.Close()
 	got, err := do(t, c, rawCall("1", 16<<20))
 	require.NoError(t, err)
@@ -255,7 +255,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // no connection is accepted, so that nothing is read
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
-	c := NewClient(ClientConfig{Address: ln.Addr().String(), MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
+	c := New(Config{Address: ln.Addr().String(), MaxConnections: 4, DialTimeout: time.Second, IdleTimeout: time.Minute})
 	defer c.Close()
 	upload := rawCall("1", 16<<20)
 	for range 100 { // the timers of the connection and of ctx race
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -20,6 +20,7 @@
 	"wisteriafold/backend"
 	"wisteriafold/caller"
 	"wisteriafold/contract"
+	"wisteriafold/httpclient"
 	"wisteriafold/link"
 	"wisteriafold/platform"
 	"wisteriafold/service"
@@ -74,7 +75,7 @@
 	view      atomic.Pointer[view]
 	confirmed atomic.Int64 // nanoseconds from epoch to when the configuration was last confirmed
 	gate      *backend.Gate
-	client    *backend.Client
+	client    *httpclient.Client
 	links     *link.Links
 	calls     registry
 	watch     *caller.Watcher
@@ -131,7 +132,7 @@
 	d.traffic, d.cancelTraffic = context.WithCancel(context.Background())
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
 	d.gate = backend.NewGate(backend.Config{Slots: set.Backend.Slots, MaxConnections: set.Backend.Connections}, d.now)
-	d.client = backend.NewClient(backend.ClientConfig{
+	d.client = httpclient.New(httpclient.Config{
 		Address:        set.Backend.Address,
 		MaxConnections: set.Backend.Connections,
 		DialTimeout:    backendDialTimeout,
--- a/instance/gatecall.go
+++ b/instance/gatecall.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 	"wisteriafold/request"
 	"wisteriafold/wire"
 )
@@ -212,7 +213,7 @@
 // answer converts the response of the backend server. A small body is read at
 // once, so that the slot is free before the caller has received it; a large one
 // streams.
-func (w *backendCall) answer(x *backend.Exchange) (*answer, *failure) {
+func (w *backendCall) answer(x *httpclient.Exchange) (*answer, *failure) {
 	resp := x.Response
 	size := int64(resp.Header.ContentLength())
 	head := &wire.AnswerHead{
@@ -237,7 +238,7 @@
 	}), nil
 }
 
-func (w *backendCall) small(x *backend.Exchange, head *wire.AnswerHead, stream io.Reader, failed bool) (*answer, *failure) {
+func (w *backendCall) small(x *httpclient.Exchange, head *wire.AnswerHead, stream io.Reader, failed bool) (*answer, *failure) {
 	if stream != nil && !x.Response.SkipBody {
 		b, err := io.ReadAll(stream)
 		if err != nil {
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 	"wisteriafold/membership"
 	"wisteriafold/request"
 	"wisteriafold/routing"
@@ -313,7 +314,7 @@
 	switch {
 	case e.Reason == request.ReasonNoEndpoint && errors.Is(e.Cause, syscall.ECONNREFUSED):
 		d.suspectCold(backend.ColdRefused)
-	case e.Reason == request.ReasonBroken && backend.IsConnectionLost(e.Cause) && d.lost.add(d.now()):
+	case e.Reason == request.ReasonBroken && httpclient.IsConnectionLost(e.Cause) && d.lost.add(d.now()):
 		d.suspectCold(backend.ColdReset)
 	}
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 	"wisteriafold/ingress"
 	"wisteriafold/link"
 	"wisteriafold/membership"
@@ -77,7 +78,7 @@
 	selfEntry       atomic.Pointer[membership.Entry]
 	backendSnapshot atomic.Pointer[backendState]
 	gate            *backend.Gate
-	client          *backend.Client
+	client          *httpclient.Client
 	links           *link.Links
 	callers         *ingress.Server
 	runs            runs
@@ -131,7 +132,7 @@
 	d.traffic, d.cancelTraffic = context.WithCancel(context.Background())
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
 	d.gate = backend.NewGate(backend.Config{Slots: initialSlots, MaxConnections: settings.backendConnections()}, d.now)
-	d.client = backend.NewClient(backend.ClientConfig{
+	d.client = httpclient.New(httpclient.Config{
 		Address:        settings.Backend,
 		MaxConnections: settings.backendConnections(),
 		DialTimeout:    backendDialTimeout,
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 	"wisteriafold/memaccount"
 	"wisteriafold/membership"
 	"wisteriafold/request"
@@ -182,7 +183,7 @@
 	left := c.Deadline.Sub(d.now())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
 	defer cancel()
-	raw := &backend.RawCall{
+	raw := &httpclient.RawCall{
 		Head:   d.requestHead(h, d.backendSnapshot.Load().id, max(left.Milliseconds(), 1), len(body)),
 		Body:   body,
 		Held:   held,
@@ -231,7 +232,7 @@
 
 // answerOf converts a response of the backend server, which acceptAnswer has accepted,
 // to the head that is sent to the entry.
-func (d *Daemon) answerOf(c *request.Call, a *backend.RawAnswer) (*wire.AnswerHead, backend.Result) {
+func (d *Daemon) answerOf(c *request.Call, a *httpclient.RawAnswer) (*wire.AnswerHead, backend.Result) {
 	r, status := a.Response, a.Response.StatusCode()
 	work := d.workPercentOf(&r.Header)
 	if len(r.Header.Peek(d.names.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 	"wisteriafold/instance"
 )
 
@@ -231,7 +231,7 @@
 		s := min(d, workSlice)
 		time.Sleep(s)
 		d -= s
-		if d > 0 && !backend.Alive(ctx.Conn()) {
+		if d > 0 && !httpclient.Alive(ctx.Conn()) {
 			return false
 		}
 	}
