httpclient: a connection never carries a request id twice

Callers saw: 503, not run, for a request that a backend server ran: it refused the request, got it again with the same id on the same connection, and wrote the refusal once more before the answer. The id of a late response did not tell the two apart.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -79,6 +81,8 @@
 
 	keepAliveFor time.Duration // idle time after which the peer may close it, 0 when unknown
 
+	carried carriedIDs // ids of the calls of DoRaw so far
+
 	meter *meter // of the exchange of DoRaw in progress, nil when there is none
 }
 
@@ -146,7 +150,7 @@
 // outcome NotRun when the backend server cannot have received the request, and
 // Unknown otherwise.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request) (*Exchange, error) {
-	cc, err := c.acquire(ctx)
+	cc, err := c.acquire(ctx, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -241,15 +245,16 @@
 	}
 }
 
-// acquire returns an idle connection, or a new one when none can be reused. It
-// takes a slot.
-func (c *Client) acquire(ctx context.Context) (*clientConn, error) {
+// acquire returns an idle connection that has not carried the request id with the hash
+// id, or a new one when none can be reused. It takes a slot. An id of 0 is that of no
+// request.
+func (c *Client) acquire(ctx context.Context, id uint64) (*clientConn, error) {
 	select {
 	case c.slots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, request.NewNotRunError(request.ReasonDeadline, "no connection to the backend server became free in time")
 	}
-	if cc := c.reuse(); cc != nil {
+	if cc := c.reuse(id); cc != nil {
 		return cc, nil
 	}
 	return c.dial(ctx)
@@ -275,20 +280,15 @@
 	return cc, nil
 }
 
-// reuse returns the most recently used idle connection that is still usable, or
-// nil. A connection that has unread bytes is closed, because they belong to no
-// pending request.
-func (c *Client) reuse() *clientConn {
+// reuse returns the most recently used idle connection that is still usable and has not
+// carried the request id with the hash id, or nil. A connection that has unread bytes is
+// closed, because they belong to no pending request.
+func (c *Client) reuse(id uint64) *clientConn {
 	for {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
+		cc := c.takeIdle(id)
+		if cc == nil {
 			return nil
 		}
-		cc := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
 		limit := c.cfg.IdleTimeout
 		if cc.keepAliveFor > 0 {
 			limit = min(limit, cc.keepAliveFor)
@@ -306,6 +306,28 @@
 	}
 }
 
+// takeIdle removes the most recently used idle connection that has not carried the request
+// id with the hash id, and returns it. It returns nil when there is none.
+func (c *Client) takeIdle(id uint64) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, cc := range slices.Backward(c.idle) {
+		if id == 0 || !cc.carried.contains(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cc
+		}
+	}
+	return nil
+}
+
+// hashID returns the hash of a request id, which is not 0 unless the id is empty.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return max(xxhash.Sum64String(id), 1)
+}
+
 // ended reports an idle connection that its peer has ended.
 func (c *Client) ended(idle time.Duration) {
 	if c.cfg.OnEnded != nil {
--- a/httpclient/raw.go
+++ b/httpclient/raw.go
@@ -20,6 +20,11 @@
 	Head []byte // request line and header fields, including the empty line that ends them
 	Body []byte
 
+	// ID is the request id, which Matches looks for in a response. A connection that has
+	// carried a request with this id is not used again for it, because a late response to
+	// the earlier one could not be told from its own. Empty means that there is no id.
+	ID string
+
 	// MaxIdle is the maximum idle time of a connection that may be reused; 0
 	// leaves only the limit of the client. The longer a connection is idle, the
 	// likelier its peer closes it while the request is on its way. A request
@@ -108,7 +113,8 @@
 
 // doMetered is DoRaw with the meter of the exchange.
 func (c *Client) doMetered(ctx context.Context, call *RawCall, m *meter) (*RawAnswer, error) {
-	cc, err := c.acquireRecent(ctx, call.MaxIdle)
+	id := hashID(call.ID)
+	cc, err := c.acquireRecent(ctx, call.MaxIdle, id)
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +122,9 @@
 		_ = cc.SetDeadline(dl)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cc.Close() })
+	if id != 0 {
+		cc.carried.add(id)
+	}
 	cc.meter = m
 	a, keep, err := cc.exchange(call)
 	cc.meter = nil
@@ -164,7 +173,7 @@
 		return nil, false, err
 	}
 	cc.keepAliveFor = keepAlive(a.Response)
-	return a, sentAll && !a.Response.ConnectionClose() && cc.br.Buffered() == 0, nil
+	return a, sentAll && !a.Response.ConnectionClose() && cc.br.Buffered() == 0 && !cc.carried.full(), nil
 }
 
 // write sends the request.
@@ -257,8 +266,9 @@
 }
 
 // acquireRecent returns a connection that has not been idle for longer than
-// maxIdle, or a new one. A maxIdle of 0 sets no limit.
-func (c *Client) acquireRecent(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
+// maxIdle and has not carried the request id with the hash id, or a new one. A maxIdle of
+// 0 sets no limit.
+func (c *Client) acquireRecent(ctx context.Context, maxIdle time.Duration, id uint64) (*clientConn, error) {
 	if maxIdle > 0 {
 		c.mu.Lock()
 		var last *clientConn
@@ -271,7 +281,7 @@
 			return c.acquireNew(ctx)
 		}
 	}
-	return c.acquire(ctx)
+	return c.acquire(ctx, id)
 }
 
 // acquireNew opens a connection even if there are idle ones.
--- a/httpclient/raw_test.go
+++ b/httpclient/raw_test.go
@@ -211,7 +211,7 @@
 	old := c.idle[0]
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	fresh, err := c.acquireRecent(ctx, time.Second)
+	fresh, err := c.acquireRecent(ctx, time.Second, 0)
 	require.NoError(t, err)
 	require.NoError(t, fresh.Close())
 	require.Equal(t, []*clientConn{old}, c.idle)
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -186,6 +186,7 @@
 	raw := &httpclient.RawCall{
 		Head:   d.requestHead(h, d.backendSnapshot.Load().id, max(left.Milliseconds(), 1), len(body)),
 		Body:   body,
+		ID:     c.ID,
 		Held:   held,
 		Accept: func(r *fasthttp.Response) error { return d.acceptAnswer(c, r) },
 		Matches: func(r *fasthttp.Response) bool {
