response: one strict reader of responses, used wherever they are read

Callers saw: a status of 000, a 101 that nobody asked for, and heads with a blank or a control byte in the name of a field as answers, in part with a body that was not the backend server's.

Cause: the library that read answers is lenient by design. The same library, or another lenient one, read health checks, the store, and the pages that commands ask for; links between daemons checked nothing.

Change: package response reads heads and bodies as RFC 9110 and RFC 9112 say. Backend servers, health checks, the store, and commands are read by it; status and fields of an answer from another daemon are checked. A rejected response is an unknown outcome, and its connection is closed. The client of the store is httpclient.Client now, which sends a read again when a kept connection ended.

--- a/cmd/wisteriafold/explain.go
+++ b/cmd/wisteriafold/explain.go
@@ -81,7 +81,7 @@
 
 // get fetches the explanation. Wrong parameters are an error with exitUsage.
 func (f *explainFlags) get(q url.Values, x *sidecar.Explanation) error {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+f.metrics+sidecar.PathExplain+"?"+q.Encode(), operatorTimeout)
+	status, body, err := get(f.metrics, sidecar.PathExplain+"?"+q.Encode())
 	switch {
 	case err != nil:
 		return eris.Wrapf(err, "query %s: start the daemon or correct the address", f.metrics)
--- a/cmd/wisteriafold/fleet.go
+++ b/cmd/wisteriafold/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,11 +16,17 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"wisteriafold/httpclient"
 	"wisteriafold/instance"
 	"wisteriafold/request"
 )
 
-const operatorTimeout = 3 * time.Second
+const (
+	operatorTimeout = 3 * time.Second
+
+	// maxPageBytes limits the bytes that are read of a page of a daemon.
+	maxPageBytes = 64 << 20
+)
 
 // operatorFlags holds the flags that select the daemons whose operator listeners are
 // queried.
@@ -56,9 +63,20 @@
 	return out, nil
 }
 
+// get fetches a page of a listener of a daemon.
+func get(address, path string) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	resp, err := httpclient.Get(ctx, httpclient.GetRequest{Address: address, Path: path, MaxBytes: maxPageBytes})
+	if err != nil {
+		return 0, nil, err
+	}
+	return resp.Header.StatusCode(), resp.Body, nil
+}
+
 // getJSON fetches a page of an operator listener and decodes its JSON into into.
 func getJSON(address, path string, into any) error {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, operatorTimeout)
+	status, body, err := get(address, path)
 	if err != nil {
 		return eris.Wrapf(err, "query %s: start the daemon or correct the address", address)
 	}
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -18,6 +18,7 @@
 
 	"wisteriafold/memaccount"
 	"wisteriafold/request"
+	"wisteriafold/response"
 )
 
 // Config configures the HTTP connections to one backend server.
@@ -141,6 +142,7 @@
 	client   *Client
 	conn     *clientConn
 	stop     func() bool
+	body     *response.Body
 	reusable bool
 	once     sync.Once
 }
@@ -159,35 +161,51 @@
 	}
 	x := &Exchange{Response: fasthttp.AcquireResponse(), client: c, conn: cc}
 	x.stop = context.AfterFunc(ctx, func() { _ = cc.Close() })
-	x.Response.StreamBody = true
-	if req.Header.IsHead() {
-		x.Response.SkipBody = true
-	}
-	if err := x.send(req); err != nil {
+	head, err := x.send(req)
+	if err != nil {
 		x.Close()
 		return nil, lostError(ctx, err)
 	}
-	x.reusable = !x.Response.ConnectionClose() && !req.ConnectionClose()
+	x.body = response.NewBody(cc.br, head)
+	switch head.Framing {
+	case response.FramingNone:
+		x.Response.SkipBody = true
+	case response.FramingLength:
+		x.Response.SetBodyStream(x.body, int(head.Length))
+	case response.FramingChunked:
+		x.Response.SetBodyStream(x.body, lengthChunked)
+	case response.FramingClose:
+		x.Response.SetBodyStream(x.body, lengthUntilClose)
+	}
+	x.reusable = head.Persistent && !req.ConnectionClose()
 	return x, nil
 }
 
+// Content lengths with which fasthttp marks bodies of unknown length.
+const (
+	lengthChunked    = -1
+	lengthUntilClose = -2
+)
+
 // send writes the request and reads the head of the response.
-func (x *Exchange) send(req *fasthttp.Request) error {
+func (x *Exchange) send(req *fasthttp.Request) (response.Head, error) {
+	method := string(req.Header.Method())
 	err := req.Write(x.conn.bw)
 	if err == nil {
 		err = x.conn.bw.Flush()
 	}
 	if err == nil {
-		return x.Response.Read(x.conn.br)
+		return response.ReadHead(x.conn.br, method, &x.Response.Header)
 	}
 	// The backend server may have answered and closed the connection before
 	// the whole body was sent. If so, the caller gets that answer.
 	_ = x.conn.SetReadDeadline(time.Now().Add(earlyAnswerWait))
-	if x.Response.Read(x.conn.br) != nil {
-		return err
+	head, readErr := response.ReadHead(x.conn.br, method, &x.Response.Header)
+	if readErr != nil {
+		return response.Head{}, err
 	}
-	x.Response.SetConnectionClose()
-	return nil
+	head.Persistent = false
+	return head, nil
 }
 
 // Abandon prevents reuse of the connection, because the response body was not
@@ -201,7 +219,7 @@
 		alive := x.stop()
 		_ = x.Response.CloseBodyStream()
 		fasthttp.ReleaseResponse(x.Response)
-		if alive && x.reusable {
+		if alive && x.reusable && x.body.Complete() {
 			x.client.release(x.conn)
 			return
 		}
--- a/httpclient/meter.go
+++ b/httpclient/meter.go
@@ -66,16 +66,16 @@
 
 // startBody allows the bytes of a body. A length below 0 is unknown. Room for a known
 // length is reserved at once, so that what has been read does not wait for the rest.
-func (m *meter) startBody(length int) error {
+func (m *meter) startBody(length int64) error {
 	m.allowed, m.tooLong = m.client.cfg.MaxAnswerBytes, errAnswerTooLong
 	m.unknown = length < 0
 	if m.unknown {
 		return nil
 	}
-	if int64(length) > m.allowed {
+	if length > m.allowed {
 		return errAnswerTooLong
 	}
-	return m.reserve(m.read + int64(length))
+	return m.reserve(m.read + length)
 }
 
 // reserve extends the reservation to n bytes of this exchange.
--- a/httpclient/raw.go
+++ b/httpclient/raw.go
@@ -1,9 +1,11 @@
 package httpclient
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +14,7 @@
 
 	"wisteriafold/memaccount"
 	"wisteriafold/request"
+	"wisteriafold/response"
 )
 
 // RawCall is a request that is sent byte for byte, and whose response is read
@@ -32,6 +35,10 @@
 	// used connection or a new one.
 	MaxIdle time.Duration
 
+	// Repeatable says that the request may be sent twice. If the server has closed a kept
+	// connection while the request was on its way, it is sent again on a new one.
+	Repeatable bool
+
 	// Held is the holding of the answer, which the caller of DoRaw releases. With nil,
 	// RawAnswer.Release releases the answer.
 	Held *memaccount.Holding
@@ -51,6 +58,7 @@
 	Response *fasthttp.Response // released by Release
 	Body     []byte
 
+	head response.Head
 	held *memaccount.Holding // nil when the call brought its own
 }
 
@@ -81,6 +89,9 @@
 	keepAliveMargin = time.Second
 )
 
+// longAgo is a deadline that ends an operation in progress.
+var longAgo = time.Unix(1, 0)
+
 var errOtherResponses = errors.New("backend server sent only responses to other requests, check that it answers each request once")
 
 // DoRaw sends a request and reads its complete response. The deadline of ctx
@@ -113,16 +124,32 @@
 
 // doMetered is DoRaw with the meter of the exchange.
 func (c *Client) doMetered(ctx context.Context, call *RawCall, m *meter) (*RawAnswer, error) {
-	id := hashID(call.ID)
-	cc, err := c.acquireRecent(ctx, call.MaxIdle, id)
+	cc, err := c.acquireRecent(ctx, call.MaxIdle, hashID(call.ID))
 	if err != nil {
 		return nil, err
 	}
+	reused := !cc.idleSince.IsZero()
+	a, err := c.doOn(ctx, cc, call, m)
+	if call.Repeatable && reused && m.read == 0 && IsConnectionLost(err) {
+		if cc, err = c.acquireNew(ctx); err != nil {
+			return nil, err
+		}
+		a, err = c.doOn(ctx, cc, call, m)
+	}
+	if err != nil {
+		return nil, lostError(ctx, err)
+	}
+	return a, nil
+}
+
+// doOn sends a request over a connection and reads its response. Afterwards the
+// connection is released or closed.
+func (c *Client) doOn(ctx context.Context, cc *clientConn, call *RawCall, m *meter) (*RawAnswer, error) {
 	if dl, ok := ctx.Deadline(); ok {
 		_ = cc.SetDeadline(dl)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cc.Close() })
-	if id != 0 {
+	if id := hashID(call.ID); id != 0 {
 		cc.carried.add(id)
 	}
 	cc.meter = m
@@ -134,10 +161,7 @@
 		c.discard(cc)
 		<-c.slots
 	}
-	if err != nil {
-		return nil, lostError(ctx, err)
-	}
-	return a, nil
+	return a, err
 }
 
 // exchange sends a request and reads its response. keep reports whether the
@@ -158,22 +182,23 @@
 		}
 	}
 	a, err = cc.readAnswer(call)
-	sentAll := false
 	select {
 	case <-written:
-		sentAll = writeErr == nil
-		if err != nil && writeErr != nil {
-			err = writeErr
-		}
 	default: // answered early or failed: do not send the rest of the request
-		_ = cc.Close()
-		<-written // writeErr comes from this close and is not an error of the exchange
+		_ = cc.SetWriteDeadline(longAgo)
+		<-written
+	}
+	sentAll := writeErr == nil
+	aborted := errors.Is(writeErr, os.ErrDeadlineExceeded) // by this function, or at the deadline of the call
+	switch {
+	case err != nil && !sentAll && !aborted:
+		err = writeErr
 	}
 	if err != nil {
 		return nil, false, err
 	}
 	cc.keepAliveFor = keepAlive(a.Response)
-	return a, sentAll && !a.Response.ConnectionClose() && cc.br.Buffered() == 0 && !cc.carried.full(), nil
+	return a, sentAll && a.head.Persistent && cc.br.Buffered() == 0 && !cc.carried.full(), nil
 }
 
 // write sends the request.
@@ -189,67 +214,63 @@
 
 // readAnswer returns the first response that belongs to call.
 func (cc *clientConn) readAnswer(call *RawCall) (*RawAnswer, error) {
-	resp := fasthttp.AcquireResponse()
+	a := &RawAnswer{Response: fasthttp.AcquireResponse()}
 	for skipped := 0; ; skipped++ {
-		resp.Reset()
-		resp.StreamBody = true
-		body, err := cc.readOne(resp, call)
-		if err != nil {
-			fasthttp.ReleaseResponse(resp)
-			return nil, err
+		a.Response.Reset()
+		err := cc.readOne(a, call)
+		if err == nil && (call.Matches == nil || call.Matches(a.Response)) {
+			return a, nil
 		}
-		if call.Matches == nil || call.Matches(resp) {
-			return &RawAnswer{Response: resp, Body: body}, nil
+		if err == nil && skipped == maxLateResponses {
+			err = errOtherResponses
 		}
-		if skipped == maxLateResponses {
-			fasthttp.ReleaseResponse(resp)
-			return nil, errOtherResponses
+		if err != nil {
+			fasthttp.ReleaseResponse(a.Response)
+			return nil, err
 		}
 	}
 }
 
 // readOne reads one response. The body of a response that call does not accept is not
 // read.
-func (cc *clientConn) readOne(resp *fasthttp.Response, call *RawCall) ([]byte, error) {
+func (cc *clientConn) readOne(a *RawAnswer, call *RawCall) (err error) {
 	cc.meter.startAnswer()
-	if err := resp.Read(cc.br); err != nil {
-		return nil, err
+	if a.head, err = response.ReadHead(cc.br, call.method(), &a.Response.Header); err != nil {
+		return err
 	}
 	if call.Accept != nil {
-		if err := call.Accept(resp); err != nil {
-			return nil, err
+		if err := call.Accept(a.Response); err != nil {
+			return err
 		}
 	}
-	if resp.BodyStream() != nil {
-		if err := cc.meter.startBody(resp.Header.ContentLength()); err != nil {
-			return nil, err
-		}
+	length := int64(-1)
+	if a.head.Framing == response.FramingLength || a.head.Framing == response.FramingNone {
+		length = a.head.Length
+	}
+	if err := cc.meter.startBody(length); err != nil {
+		return err
 	}
-	return readBody(resp)
+	a.Body, err = readBody(response.NewBody(cc.br, a.head), length)
+	return err
 }
 
-// readBody returns the complete body of resp. Memory for an announced length has been
-// reserved.
-func readBody(resp *fasthttp.Response) ([]byte, error) {
-	stream := resp.BodyStream()
-	if stream == nil {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	size := resp.Header.ContentLength()
-	var b []byte
-	var err error
-	switch {
-	case size > 0:
-		b = make([]byte, size)
-		if _, err = io.ReadFull(stream, b); errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-	default:
-		b, err = io.ReadAll(stream)
+// method returns the method of the request.
+func (call *RawCall) method() string {
+	method, _, _ := bytes.Cut(call.Head, []byte(" "))
+	return string(method)
+}
+
+// readBody returns the complete body. Memory for a length that is known, which means not
+// negative, has been reserved.
+func readBody(body *response.Body, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
 	}
-	if cerr := resp.CloseBodyStream(); err == nil && cerr != nil {
-		err = cerr
+	b := make([]byte, length)
+	if length == 0 {
+		return b, nil
 	}
+	_, err := io.ReadFull(body, b)
 	return b, err
 }
 
--- a/instance/health.go
+++ b/instance/health.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriafold/backend"
+	"wisteriafold/httpclient"
 )
 
 const (
@@ -15,8 +16,8 @@
 	// server is not running.
 	withdrawAfterRefusals = 4
 
-	// maxHealthBytes is the largest body of a health check's answer. A longer one
-	// counts as a failed check.
+	// maxHealthBytes is the largest answer to a health check. A longer one counts as
+	// a failed check.
 	maxHealthBytes = 64 << 10
 )
 
@@ -33,19 +34,10 @@
 // checkHealth requests the backend server's health path every HealthEvery and
 // posts the results.
 func (d *Daemon) checkHealth(ctx context.Context) {
-	c := &fasthttp.HostClient{
-		Addr:                d.set.Backend.Address,
-		ReadTimeout:         d.set.Backend.HealthEvery,
-		WriteTimeout:        d.set.Backend.HealthEvery,
-		MaxConns:            1,
-		MaxIdleConnDuration: 10 * d.set.Backend.HealthEvery,
-		MaxResponseBodySize: maxHealthBytes,
-	}
-	defer c.CloseIdleConnections()
 	t := time.NewTicker(d.set.Backend.HealthEvery)
 	defer t.Stop()
 	for {
-		d.post(healthChecked{d.probeHealth(c)})
+		d.post(healthChecked{d.probeHealth(ctx)})
 		select {
 		case <-ctx.Done():
 			return
@@ -54,21 +46,22 @@
 	}
 }
 
-func (d *Daemon) probeHealth(c *fasthttp.HostClient) health {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + d.set.Backend.Address + d.set.Backend.HealthPath)
-	err := c.DoTimeout(req, resp, d.set.Backend.HealthEvery)
+func (d *Daemon) probeHealth(ctx context.Context) health {
+	ctx, cancel := context.WithTimeout(ctx, d.set.Backend.HealthEvery)
+	defer cancel()
+	resp, err := httpclient.Get(ctx, httpclient.GetRequest{
+		Address:  d.set.Backend.Address,
+		Path:     d.set.Backend.HealthPath,
+		MaxBytes: maxHealthBytes,
+	})
 	switch {
 	case err != nil && isRefused(err):
 		return healthAbsent
 	case err != nil:
 		return healthFailing
-	case resp.StatusCode() == fasthttp.StatusServiceUnavailable:
+	case resp.Header.StatusCode() == fasthttp.StatusServiceUnavailable:
 		return healthDraining
-	case resp.StatusCode() < 300:
+	case resp.Header.StatusCode() < 300:
 		return healthOK
 	default:
 		return healthFailing
--- a/instance/remote.go
+++ b/instance/remote.go
@@ -51,7 +51,7 @@
 				go sendBody(s, out.body.reader(), sent)
 			}
 		case *wire.Frame_Answer:
-			return d.handleAnswer(s, k.Answer, release)
+			return d.handleAnswer(ctx, s, k.Answer, release)
 		default:
 			release()
 			return nil, linkFailure(ctx, eris.New("unexpected frame kind instead of an answer"))
@@ -68,11 +68,15 @@
 	}
 }
 
-func (d *Daemon) handleAnswer(s *link.Stream, h *wire.AnswerHead, release func()) (*answer, *failure) {
+func (d *Daemon) handleAnswer(ctx context.Context, s *link.Stream, h *wire.AnswerHead, release func()) (*answer, *failure) {
 	if err := errorOf(h); err != nil {
 		release()
 		return nil, &failure{err: err, head: h}
 	}
+	if err := wire.CheckAnswer(h, func(name string) string { return name }); err != nil {
+		release()
+		return nil, linkFailure(ctx, err)
+	}
 	if !h.BodyFollows {
 		release()
 		return newAnswer(h, nil, func(bool) {}), nil
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -252,6 +252,9 @@
 		return nil, linkError(ctx, err)
 	}
 	ans, err := readAnswer(ctx, s, held)
+	if err == nil {
+		err = wire.CheckAnswer(ans, d.names.unpack)
+	}
 	if err != nil {
 		held.Release()
 		return nil, linkError(ctx, err)
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -1,14 +1,12 @@
 package sidecar
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wisteriafold/httpclient"
 	"wisteriafold/membership"
 )
 
@@ -138,17 +136,13 @@
 func (d *Daemon) checkHealth(path string) (h health) {
 	ctx, cancel := context.WithTimeout(d.background, probeTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", d.settings.Backend)
-	if err != nil {
-		return health{}
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
-	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + d.settings.Service + "\r\nConnection: close\r\n\r\n")); err != nil {
-		return health{}
-	}
-	var resp fasthttp.Response
-	if resp.Read(bufio.NewReader(io.LimitReader(conn, maxHealthBytes))) != nil || resp.StatusCode() != fasthttp.StatusOK {
+	resp, err := httpclient.Get(ctx, httpclient.GetRequest{
+		Address:  d.settings.Backend,
+		Host:     d.settings.Service,
+		Path:     path,
+		MaxBytes: maxHealthBytes,
+	})
+	if err != nil || resp.Header.StatusCode() != fasthttp.StatusOK {
 		return health{}
 	}
 	if l, ok := d.dialect.ParseLoad(string(resp.Header.Peek(d.names.Load))); ok {
