httpclient: an early answer without a length that is reset is not complete

Callers saw: a 200 with a part of the body as a whole answer, when the backend server answered a long upload at once without a length and reset the connection.

Cause: the kernel reports a reset once. The goroutine that wrote the upload took the report, and the read saw an end like that of an orderly close.

Change: such an answer counts only if no write has failed, other than by the time limit with which the client ends it.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -198,10 +198,11 @@
 		return response.ReadHead(x.conn.br, method, &x.Response.Header)
 	}
 	// The backend server may have answered and closed the connection before
-	// the whole body was sent. If so, the caller gets that answer.
+	// the whole body was sent. If so, the caller gets that answer, unless only an
+	// orderly close would tell that it is complete.
 	_ = x.conn.SetReadDeadline(time.Now().Add(earlyAnswerWait))
 	head, readErr := response.ReadHead(x.conn.br, method, &x.Response.Header)
-	if readErr != nil {
+	if readErr != nil || head.Framing == response.FramingClose {
 		return response.Head{}, err
 	}
 	head.Persistent = false
--- a/httpclient/raw.go
+++ b/httpclient/raw.go
@@ -92,7 +92,10 @@
 // longAgo is a deadline that ends an operation in progress.
 var longAgo = time.Unix(1, 0)
 
-var errOtherResponses = errors.New("backend server sent only responses to other requests, check that it answers each request once")
+var (
+	errOtherResponses = errors.New("backend server sent only responses to other requests, check that it answers each request once")
+	errNotOrderly     = errors.New("backend server reset the connection of a response that ends with the connection, look up its log")
+)
 
 // DoRaw sends a request and reads its complete response. The deadline of ctx
 // applies to the whole exchange, including waits for memory. Errors are
@@ -193,6 +196,11 @@
 	switch {
 	case err != nil && !sentAll && !aborted:
 		err = writeErr
+	case err == nil && a.head.Framing == response.FramingClose && !sentAll && !aborted:
+		// The kernel reports a reset once. The write took the report, so that the
+		// read saw an end like that of an orderly close.
+		a.Release()
+		err = errNotOrderly
 	}
 	if err != nil {
 		return nil, false, err
