instance: the connection of a refusal carries no other call

Cause, a related path of the refusal written twice: backend servers of the own interface need not name the request that they answer, so a refusal written once more on a kept connection was taken for that of the next call, which ran.

Change: the connection of a refusal is closed, and an answer that names another request counts as broken.

Before: TestConnectionOfARefusalIsNotUsedAgain saw the connection carry further calls. It and TestAnswerThatNamesAnotherRequestIsBroken pass.

--- a/instance/gatecall.go
+++ b/instance/gatecall.go
@@ -157,7 +157,15 @@
 		e := request.AsError(err)
 		return nil, w.fail(e, resultOf(e))
 	}
+	if e := w.foreignAnswer(x.Response); e != nil {
+		x.Abandon()
+		x.Close()
+		return nil, w.fail(e, resultOf(e))
+	}
 	if e := w.declaredShed(x.Response); e != nil {
+		// Backend servers need not name the request that they answer. A refusal written
+		// once more on a kept connection would be taken for that of the next request.
+		x.Abandon()
 		x.Close()
 		return nil, w.fail(e, backend.Result{Shed: true})
 	}
@@ -171,6 +179,16 @@
 	}
 }
 
+// foreignAnswer returns an error when the backend server names another request than this
+// one in its answer.
+func (w *backendCall) foreignAnswer(resp *fasthttp.Response) *request.Error {
+	id := resp.Header.Peek(HeaderRequestID)
+	if len(id) == 0 || string(id) == w.in.call.ID {
+		return nil
+	}
+	return request.NewUnknownError(request.ReasonBroken, "the backend server answered another request, look up its log", nil)
+}
+
 // declaredShed returns an error when the backend server declares that it did
 // not run the call. Its outcome is NotRun, or Unknown when a child call may
 // have run.
