sidecar: a stopping daemon sees requests that begin and end between two looks

Callers saw: connections refused from 2.5 s after the SIGTERM on, where refusals with Retry-After were due.

Cause: a stop ends when no request has been in progress for 0.2 s, which was sampled every 20 ms. Requests of 2 ms every 22 ms fell between the samples.

Change: requests that have begun since the last sample count as well.

--- a/sidecar/callers.go
+++ b/sidecar/callers.go
@@ -46,7 +46,7 @@
 
 // serveCaller handles requests on the callers' listener.
 func (d *Daemon) serveCaller(hc *ingress.Request) {
-	d.inFlight.Add(1)
+	d.beginRequest()
 	defer d.inFlight.Add(-1)
 	e := &entry{d: d, http: hc, table: d.table.Load(), startedAt: hc.ReadAt}
 	if d.stopping.Load() {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -91,6 +91,7 @@
 	coldServices  coldServices
 	explaining    sync.Mutex   // serialises explanations
 	inFlight      atomic.Int64 // requests in progress
+	begun         atomic.Int64 // requests that have begun since the start
 	heldBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	answers       answerAccounts
 	stopping      atomic.Bool
--- a/sidecar/listener.go
+++ b/sidecar/listener.go
@@ -99,6 +99,12 @@
 	d.spawn(func() { d.reportServeError(d.callers.Serve(l)) })
 }
 
+// beginRequest counts a request that has been taken.
+func (d *Daemon) beginRequest() {
+	d.begun.Add(1)
+	d.inFlight.Add(1)
+}
+
 // unfinished returns the number of requests in progress, with those of callers whose
 // answer has not left completely.
 func (d *Daemon) unfinished() int64 { return d.inFlight.Load() + d.callers.Waiting() }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -109,7 +109,7 @@
 		return // the peer does not follow the protocol; returning closes the stream
 	}
 	defer d.recoverPanic("call from another daemon", "request", k.Call.RequestId, "peer", s.Peer())
-	d.inFlight.Add(1) // from the head on, so that a stop waits for the body
+	d.beginRequest() // from the head on, so that a stop waits for the body
 	defer d.inFlight.Add(-1)
 	h, c := k.Call, d.callOf(k.Call)
 	held := heldBytes{d: d}
--- a/sidecar/shutdown.go
+++ b/sidecar/shutdown.go
@@ -129,16 +129,16 @@
 	return deadline
 }
 
-// awaitIdle waits until no request has been in progress, and no answer was being written,
-// for quietPeriod and new requests are refused. It does not wait for the latter when the backend server is
-// gone, and returns when ctx ends.
+// awaitIdle waits until no request has begun or been in progress, and no answer was being
+// written, for quietPeriod and new requests are refused. It does not wait for the latter
+// when the backend server is gone, and returns when ctx ends.
 func (d *Daemon) awaitIdle(ctx context.Context, times *stopTimes) {
-	lastBusy := d.now()
+	lastBusy, seen := d.now(), d.begun.Load()
 	for ctx.Err() == nil {
 		time.Sleep(idlePollInterval)
 		now := d.now()
-		if d.unfinished() > 0 {
-			lastBusy = now
+		if begun := d.begun.Load(); begun != seen || d.unfinished() > 0 {
+			lastBusy, seen = now, begun
 		}
 		backendGone := d.backendSnapshot.Load().state == membership.Gone && now.Sub(times.start) > quietPeriod
 		if now.Sub(lastBusy) >= quietPeriod && (!now.Before(times.refuseFrom) || backendGone) {
