sidecar: the log says why an answer of the backend server was rejected

The line 'backend server broke its answer' gives request and cause, and malformed_responses_total counts those that break the grammar of HTTP. Before, an attempt that ended with 'broken' did not tell a reset from bytes that are no response. Values of fields are not repeated: they may be secret (TestCauseOfARejectedAnswerIsLogged).

--- a/response/head.go
+++ b/response/head.go
@@ -68,11 +68,11 @@
 			return Head{}, err
 		}
 		if err := h.Read(br); err != nil { // consumes just b
-			return Head{}, malformed(err.Error(), b)
+			return Head{}, malformed("fields", nil)
 		}
 		switch {
 		case status == fasthttp.StatusSwitchingProtocols:
-			return Head{}, malformed("upgrade that was not asked for", b)
+			return Head{}, malformed("upgrade that was not asked for", nil)
 		case status >= fasthttp.StatusOK:
 			return head, nil
 		}
@@ -95,10 +95,10 @@
 			return nil, malformed("no status line", b)
 		}
 		if i := bareLineFeed(b); i >= 0 {
-			return nil, malformed("line that does not end with CR LF", b[:i])
+			return nil, malformed("line that does not end with CR LF", b[:min(i, len(version))])
 		}
 		if len(b) == br.Size() {
-			return nil, malformed("head without end, or too long", b)
+			return nil, malformed("head without end, or too long", b[:len(version)])
 		}
 		if _, err := br.Peek(len(b) + 1); err != nil {
 			if errors.Is(err, io.EOF) && len(b) > 0 {
@@ -187,11 +187,11 @@
 func parseField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) {
-		return nil, nil, malformed("field name", line)
+		return nil, nil, malformed("field name", name)
 	}
 	value = bytes.Trim(value, " \t")
 	if !validText(value) {
-		return nil, nil, malformed("control character in a field", line)
+		return nil, nil, malformed("control character in the value of a field", name) // values may be secret
 	}
 	return name, value, nil
 }
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -45,3 +46,27 @@
 		})
 	}
 }
+
+// Failure: operators cannot tell from log and metrics why answers of a backend server are
+// rejected, or the log repeats values of fields, which may be secret.
+func TestCauseOfARejectedAnswerIsLogged(t *testing.T) {
+	b := startRaw(t, func(conn net.Conn, id string) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nSet Cookie: secret\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	d := deployRaw(t, b, 1)
+	n := d.nodes[0]
+	require.Equal(t, 502, n.send(t, "POST", "/order/1", "x", "b", "X-Credential", "key-1").status)
+	cause := func() string {
+		for _, l := range n.logs.lines(t) {
+			if l["msg"] == "backend server broke its answer" && l["request"] == "x" {
+				return l["cause"].(string)
+			}
+		}
+		return ""
+	}
+	require.Eventually(t, func() bool { return cause() != "" }, 5*time.Second, 10*time.Millisecond)
+	require.Contains(t, cause(), `malformed response: field name ("Set Cookie")`)
+	require.NotContains(t, cause(), "secret")
+	require.Equal(t, "1", metric(t, n, "malformed_responses_total"))
+}
--- a/sidecar/decisions.go
+++ b/sidecar/decisions.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"io"
 	"math"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"wisteriafold/request"
+	"wisteriafold/response"
 	"wisteriafold/service"
 )
 
@@ -34,6 +36,24 @@
 	troubleLinesPerSecond = 300
 )
 
+// logBroken logs why the exchange with the backend server over a call broke.
+func (d *Daemon) logBroken(c *request.Call, e *request.Error) {
+	if e.Reason != request.ReasonBroken {
+		return
+	}
+	var malformed *response.MalformedError
+	if errors.As(e, &malformed) {
+		d.metrics.malformedResponses.Inc()
+	}
+	cause := e.Remedy // tells what is wrong where there is no cause
+	if e.Cause != nil {
+		cause = e.Cause.Error()
+	}
+	if d.metrics.trouble.allow(d.now()) {
+		d.log.Warn("backend server broke its answer", "request", c.ID, "cause", cause)
+	}
+}
+
 // lineWriter writes log lines in batches on its own goroutine. Write never blocks.
 type lineWriter struct {
 	out     io.Writer
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -201,6 +201,7 @@
 	if err != nil {
 		e := request.AsError(err)
 		d.noteLost(e)
+		d.logBroken(c, e)
 		d.logDecision(c, "gate", string(e.Reason), d.self().Peer, 0)
 		return failureHead(e), backend.Result{
 			Failed:    e.Reason == request.ReasonBroken || e.Reason == request.ReasonNoEndpoint,
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -25,6 +25,7 @@
 	entriesIgnored         *metrics.Counter // invalid entries in messages of other daemons
 	messagesIgnored        *metrics.Counter // control messages with values out of range
 	leavingsUnstored       *metrics.Counter // heartbeats of a leaving backend server that were not acknowledged for want of the store
+	malformedResponses     *metrics.Counter // responses of the backend server that break the grammar of HTTP
 	panics                 *metrics.Counter // panics that ended one request or event
 
 	routine lineLimiter
@@ -40,6 +41,7 @@
 	m.entriesIgnored = m.set.NewCounter("entries_ignored_total")
 	m.messagesIgnored = m.set.NewCounter("messages_ignored_total")
 	m.leavingsUnstored = m.set.NewCounter("leavings_unstored_total")
+	m.malformedResponses = m.set.NewCounter("malformed_responses_total")
 	m.panics = m.set.NewCounter("panics_total")
 	m.routine.limit, m.trouble.limit = routineLinesPerSecond, troubleLinesPerSecond
 	return m
