--- a/membership/promise_test.go
+++ b/membership/promise_test.go
@@ -39,7 +39,7 @@
 		m.hear(Heartbeat{ID: "i-9", Sequence: 99, State: Draining, Service: "s"})
 	},
 	"deregistration by another writer": func(m *leavingModel) { m.hear(Heartbeat{ID: "i-9", State: Gone}) },
-	"health check": func(m *leavingModel) { m.local.HandleProbe("i-1", 8) },
+	"health check":                     func(m *leavingModel) { m.local.HandleProbe("i-1", 8) },
 	"restart": func(m *leavingModel) {
 		m.local, m.rowRead = NewLocal("s"), false
 	},
