platform: versions carry the epoch of the store

The store may come back from an earlier copy and give its versions out again. A version is an epoch and a sequence number in one number, so that versions of different epochs are never equal and a later epoch is the higher one. The stand-in restores copies and answers as the platform does.

A reader of the configuration of the own interface counts a store whose configuration is older than the version asked for as regressed, now that such a read is answered with 410 (TestStoreThatLostCommitsLowersNoGeneration failed without it).

--- a/config/reader.go
+++ b/config/reader.go
@@ -108,6 +108,9 @@
 // full reads the whole table.
 func (r Reader) full(ctx context.Context, since uint64) (Update, error) {
 	s, err := Read(ctx, r.Table)
+	if err == nil && s.Snapshot.Version < since {
+		return Update{}, &RegressedError{}
+	}
 	if err != nil || s.Snapshot.Generation == 0 {
 		return Update{Since: since}, err
 	}
--- a/standin/rowstore/protocol.go
+++ b/standin/rowstore/protocol.go
@@ -44,6 +44,7 @@
 	f := h.faults
 	h.calls[r.URL.Path]++
 	h.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(h.rows.Epoch(), 10))
 	time.Sleep(f.Slow)
 	switch {
 	case f.Reset:
@@ -134,7 +135,7 @@
 		return &badRequestError{"the stand-in keeps rows of the empty part only"}
 	}
 	table, from, to := q.Get("table"), q.Get("from"), q.Get("to")
-	a := answer{Version: h.rows.Version()}
+	a := answer{Version: h.sequence()}
 	var rows []platform.Row
 	if from != "" { // Scan starts after from, so read from itself first
 		if rows, err = h.rows.Get(r.Context(), table, from); err != nil {
@@ -153,12 +154,15 @@
 			a.HasMore = true
 			break
 		}
-		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: x.Version})
+		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: platform.Sequence(x.Version)})
 	}
 	writeAnswer(w, http.StatusOK, a)
 	return nil
 }
 
+// sequence returns the sequence number of the last commit.
+func (h *Handler) sequence() uint64 { return platform.Sequence(h.rows.Version()) }
+
 // feed answers at once, without a long poll, because the product never asks it to
 // wait.
 func (h *Handler) feed(w http.ResponseWriter, r *http.Request) error {
@@ -167,17 +171,18 @@
 	if err != nil {
 		return &badRequestError{"after is not a version"}
 	}
-	a := answer{Version: h.rows.Version()} // read before the rows, so the next call repeats changes made in between
-	rows, _, err := h.rows.Changes(r.Context(), table, after, maxRows)
+	a := answer{Version: h.sequence()} // read before the rows, so the next call repeats changes made in between
+	rows, _, err := h.rows.Changes(r.Context(), table, platform.NewVersion(h.rows.Epoch(), after), maxRows)
 	if err != nil {
 		return err
 	}
 	for _, x := range rows {
-		if n := len(a.Rows); n >= maxPageRows && x.Version != a.Rows[n-1].Version {
+		version := platform.Sequence(x.Version)
+		if n := len(a.Rows); n >= maxPageRows && version != a.Rows[n-1].Version {
 			a.Version = a.Rows[n-1].Version
 			break
 		}
-		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: x.Version, Deleted: x.Deleted})
+		a.Rows = append(a.Rows, rowJSON{Table: table, Key: x.Key, Value: x.Value, Version: version, Deleted: x.Deleted})
 	}
 	writeAnswer(w, http.StatusOK, a)
 	return nil
@@ -193,8 +198,9 @@
 		return &badRequestError{"body is not the JSON of this call: " + err.Error()}
 	}
 	var tx platform.Tx
-	for _, c := range body.Expected {
-		tx.Conditions = append(tx.Conditions, platform.Condition{Table: c.Table, Key: c.Key, Version: c.Version})
+	epoch := h.rows.Epoch()
+	for _, c := range body.Expected { // the protocol has sequence numbers only
+		tx.Conditions = append(tx.Conditions, platform.Condition{Table: c.Table, Key: c.Key, Version: platform.NewVersion(epoch, c.Version)})
 	}
 	for _, p := range body.Puts {
 		tx.Writes = append(tx.Writes, platform.Write{Table: p.Table, Key: p.Key, Value: p.Value})
@@ -216,21 +222,21 @@
 	if err != nil {
 		return err
 	}
-	writeAnswer(w, http.StatusOK, answer{Version: version})
+	writeAnswer(w, http.StatusOK, answer{Version: platform.Sequence(version)})
 	return nil
 }
 
 // writeConflict answers a transaction whose conditions do not hold with the
 // current rows.
 func (h *Handler) writeConflict(w http.ResponseWriter, r *http.Request, expected []rowJSON) error {
-	a := answer{Version: h.rows.Version()}
+	a := answer{Version: h.sequence()}
 	for _, c := range expected {
 		rows, err := h.rows.Get(r.Context(), c.Table, c.Key)
 		if err != nil {
 			return err
 		}
 		for _, x := range rows {
-			a.Rows = append(a.Rows, rowJSON{Table: c.Table, Key: x.Key, Value: x.Value, Version: x.Version})
+			a.Rows = append(a.Rows, rowJSON{Table: c.Table, Key: x.Key, Value: x.Value, Version: platform.Sequence(x.Version)})
 		}
 	}
 	writeAnswer(w, http.StatusPreconditionFailed, a)
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// Copy returns a copy of the content, for Restore.
+func (h *Handler) Copy() *memory.Copy { return h.rows.Copy() }
+
+// Restore makes the store come back from an earlier copy. What was written since is gone,
+// its versions are given out again, and the number of its era rises by one.
+func (h *Handler) Restore(c *memory.Copy) { h.rows.Restore(c) }
+
 // Calls returns the number of calls since the start, by URL path.
 func (h *Handler) Calls() map[string]int {
 	h.mu.Lock()
