fleet, sidecar: the store may come back from an earlier copy

Callers saw (a drill, played with the stand-in): requests with a key refused for good, as the version of the configuration's row was lower than before and no read of it confirmed anything; after the end of all processes an acknowledged leaving was forgotten.

Change: daemons tell each other the epoch of the store. At a change each checks its row and writes it if the copy lacks it, spread by the rate of the store; for 2 s reads confirm no configuration, as a newer one may be lost until the operator writes it again, and evacuations of before stay in force. A daemon that starts in an epoch above 0 waits likewise unless another one confirms.

--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -33,10 +33,16 @@
 func (f *Fleet) TrackEvacuations() { f.tracksEvacuated = true }
 
 // Evacuated returns the evacuated data centres, in order, and the version of the store
-// as of which they were read. The version is 0 while the set is not known. The caller
-// must not change the result.
+// as of which they were read. The version is 0 while the set is not known. After a change
+// of the epoch of the store, the set of before stays in force until rewriteWait has
+// passed. The caller must not change the result.
 func (f *Fleet) Evacuated() (dataCentres []string, version uint64) {
-	return f.evacuated, f.evacuatedVersion
+	if len(f.store.evacuated) == 0 {
+		return f.evacuated, f.evacuatedVersion
+	}
+	union := append(slices.Clone(f.evacuated), f.store.evacuated...)
+	slices.Sort(union)
+	return slices.Compact(union), f.evacuatedVersion
 }
 
 // takeEvacuated replaces the set by one of a higher version, and reports whether the
@@ -89,7 +95,7 @@
 }
 
 func (f *Fleet) evacuatedMessage() *wire.Fleet {
-	m := &wire.Freshness{AgeUs: -1, MembersDigest: f.dir.Digest()}
+	m := &wire.Freshness{AgeUs: -1, MembersDigest: f.dir.Digest(), StoreEpochs: f.store.count()}
 	f.addEvacuated(m)
 	return &wire.Fleet{Kind: &wire.Fleet_Freshness{Freshness: m}}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,6 +57,10 @@
 	// entry that marks its incarnation as removed. A row of a later incarnation is kept.
 	DeleteRow(entry *membership.Entry)
 
+	// StoreEpochChanged is called when the store has come back from an earlier copy:
+	// what was written since the copy is gone.
+	StoreEpochChanged(from, to uint64)
+
 	// Restore is called with an entry for this daemon's address that an earlier
 	// process at the address published.
 	Restore(entry *membership.Entry)
@@ -93,6 +97,9 @@
 	evacuated        []string // evacuated data centres, in order
 	evacuatedVersion uint64   // version of the store as of which evacuated was read, 0 while it is not known
 
+	now   time.Duration // time of the latest event
+	store epochState
+
 	storeEmptyAt time.Duration // last time at which the store was known to have no configuration
 	reading      bool
 	readAt       time.Duration
@@ -120,6 +127,7 @@
 		sourceSince: never,
 		confirmed:   never,
 		readAt:      never,
+		store:       epochState{settledAt: never},
 		lastAsk:     never,
 	}
 	f.dir.Merge(self)
@@ -139,6 +147,8 @@
 // Tick refreshes the configuration and the directory when they are due. It must
 // be called several times per RefreshInterval.
 func (f *Fleet) Tick(now time.Duration) {
+	f.now = max(f.now, now)
+	f.endRewrite(now)
 	if f.askedPeer != "" && now-f.askedAt >= askTimeout {
 		f.suspect[f.askedPeer] = now + suspectDuration
 		f.askedPeer = ""
@@ -231,6 +241,10 @@
 // earlier answer is ignored.
 func (f *Fleet) HandleStoreRead(sent time.Duration, r Reading, ok bool) {
 	f.reading = false
+	f.now = max(f.now, sent)
+	if epoch, known := r.epoch(); ok && known {
+		f.noteEpoch(epoch)
+	}
 	if ok {
 		delete(f.stale, f.self.Peer)
 	} else {
@@ -252,7 +266,7 @@
 			f.push()
 		}
 	}
-	if f.generation > 0 {
+	if f.generation > 0 && sent >= f.store.settledAt {
 		f.confirmed = max(f.confirmed, sent)
 	}
 }
@@ -282,7 +296,7 @@
 // and the packed document is not too large. now is never for a push, which states
 // no age.
 func (f *Fleet) freshness(id uint64, now time.Duration, receiverHas uint64) *wire.Fleet {
-	m := &wire.Freshness{Id: id, Generation: f.generation, AgeUs: -1, MembersDigest: f.dir.Digest()}
+	m := &wire.Freshness{Id: id, Generation: f.generation, AgeUs: -1, MembersDigest: f.dir.Digest(), StoreEpochs: f.store.count()}
 	if f.confirmed != never && now != never {
 		m.AgeUs = (now - f.confirmed).Microseconds()
 	}
@@ -299,6 +313,7 @@
 // Receive processes one message from another daemon. Messages of kinds other than
 // freshness requests, freshness and sidecars only show that the daemon is alive.
 func (f *Fleet) Receive(now time.Duration, from string, m *wire.Fleet) {
+	f.now = max(f.now, now)
 	delete(f.suspect, from)
 	f.lastHeard[from] = now
 	switch k := m.Kind.(type) {
@@ -314,6 +329,9 @@
 // handleFreshness processes a push or an answer to this daemon's request. Only an
 // answer to the outstanding request updates the age of the configuration.
 func (f *Fleet) handleFreshness(now time.Duration, from string, m *wire.Freshness) {
+	if m.StoreEpochs > 0 {
+		f.noteEpoch(m.StoreEpochs - 1)
+	}
 	if m.Generation > f.generation {
 		f.adoptPacked(now, m.Configuration)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wisteriafold/membership"
+	"wisteriafold/platform"
 	"wisteriafold/wire"
 )
 
@@ -25,6 +26,7 @@
 	daemons []*daemon
 
 	generation   uint64 // generation in the store
+	epoch        uint64 // epoch of the store
 	acceptedAt   map[uint64]time.Duration
 	evacuated    []string // data centres evacuated according to the store
 	storeVersion uint64   // version of the store, 0 while the daemons do not keep the set
@@ -50,6 +52,8 @@
 	generation uint64
 	document   []byte
 	restored   *membership.Entry // last entry of a previous process
+
+	storeEpochs []uint64 // epochs of the store that were reported as new
 }
 
 func newSimulation(t *testing.T, seed uint64, daemons int) *simulation {
@@ -165,9 +169,10 @@
 	w.reads++
 	w.after(4*time.Millisecond, func() {
 		generation, ok := w.generation, !w.storeRefuses(d.peer)
+		version := platform.NewVersion(w.epoch, generation)
 		evacuated, storeVersion := w.evacuated, w.storeVersion
 		w.after(time.Duration(w.rng.IntN(30))*time.Millisecond, func() {
-			d.fleet.HandleStoreRead(sent, Reading{Document: []byte(fmt.Sprint(generation)), Version: generation, Evacuated: evacuated, StoreVersion: storeVersion}, ok)
+			d.fleet.HandleStoreRead(sent, Reading{Document: []byte(fmt.Sprint(generation)), Version: version, Evacuated: evacuated, StoreVersion: storeVersion}, ok)
 			w.check(d)
 		})
 	})
@@ -190,6 +195,8 @@
 
 func (d *daemon) Restore(e *membership.Entry) { d.restored = e }
 
+func (d *daemon) StoreEpochChanged(_, to uint64) { d.storeEpochs = append(d.storeEpochs, to) }
+
 func (d *daemon) Superseded(incarnation int64) {
 	e := proto.Clone(d.fleet.self).(*membership.Entry)
 	e.Incarnation = incarnation + 1
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -188,6 +188,14 @@
 	}()
 }
 
+// StoreEpochChanged implements fleet.Delegate. It checks the row of this daemon, which
+// may be gone or older.
+func (c *control) StoreEpochChanged(from, to uint64) {
+	wait := c.row.epochChanged(sinceBoot(), to)
+	c.d.metrics.storeEpochs.Inc()
+	c.d.log.Warn("the store came back from an earlier copy", "epoch", to, "before", from, "row_checked_in_ms", wait.Milliseconds(), "generation", c.generation)
+}
+
 // storeAnswered counts a call to the store and logs when the store becomes
 // unreachable or reachable again.
 func (c *control) storeAnswered(call string, err error) {
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"wisteriafold/fleet"
+	"wisteriafold/platform"
 	"wisteriafold/request"
 	"wisteriafold/wire"
 )
@@ -144,6 +145,9 @@
 	if m.OperatorVersion > math.MaxInt64 {
 		return &invalidMessageError{"operator_version", m.OperatorVersion}
 	}
+	if m.StoreEpochs > platform.MaxEpoch+1 {
+		return &invalidMessageError{"store_epochs", m.StoreEpochs}
+	}
 	size := 0
 	for _, name := range m.Evacuated {
 		size += len(name)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,8 @@
 	messagesIgnored        *metrics.Counter // control messages with values out of range
 	leavingsUnstored       *metrics.Counter // heartbeats of a leaving backend server that were not acknowledged for want of the store
 	malformedResponses     *metrics.Counter // responses of the backend server that break the grammar of HTTP
+	storeEpochs            *metrics.Counter // times that the store has come back from an earlier copy
+	rowsRewritten          *metrics.Counter // writes of the own row because of that
 	panics                 *metrics.Counter // panics that ended one request or event
 
 	routine lineLimiter
@@ -42,6 +44,8 @@
 	m.messagesIgnored = m.set.NewCounter("messages_ignored_total")
 	m.leavingsUnstored = m.set.NewCounter("leavings_unstored_total")
 	m.malformedResponses = m.set.NewCounter("malformed_responses_total")
+	m.storeEpochs = m.set.NewCounter("store_epoch_changes_total")
+	m.rowsRewritten = m.set.NewCounter("rows_rewritten_total")
 	m.panics = m.set.NewCounter("panics_total")
 	m.routine.limit, m.trouble.limit = routineLinesPerSecond, troubleLinesPerSecond
 	return m
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -45,6 +45,10 @@
 	busy         bool              // a round is in progress
 	firstTick    time.Duration     // time of the first tick
 	nextRound    time.Duration     // earliest time of the next round
+	epoch        uint64            // epoch of the store in which the row must be
+	epochSince   time.Duration     // time at which that was learned
+	restoring    bool              // the row has not been confirmed in that epoch yet
+	recheckAt    time.Duration     // time of a further check of the row, 0 when none is due
 	confirming   bool              // the round in progress only follows a lost answer
 	leaving      chan struct{}     // closed when the store has confirmed that the backend server is leaving, nil when nobody waits for that
 }
@@ -52,16 +56,19 @@
 // requestWrite schedules a write of e, unless e differs from the entry written last
 // only in its sequence number.
 func (r *rowWriter) requestWrite(e *membership.Entry) {
-	if r.written != nil {
-		same := clone(r.written)
-		same.Sequence = e.Sequence
-		if proto.Equal(same, e) {
-			return
-		}
+	if r.written != nil && tellsTheSame(r.written, e) {
+		return
 	}
 	r.pending = e
 }
 
+// tellsTheSame reports whether two entries differ in their sequence numbers at most.
+func tellsTheSame(a, b *membership.Entry) bool {
+	same := clone(a)
+	same.Sequence = b.Sequence
+	return proto.Equal(same, b)
+}
+
 // leavingStored returns a channel that is closed once the store has confirmed that the
 // current incarnation of the backend server is leaving.
 func (r *rowWriter) leavingStored() <-chan struct{} {
@@ -83,8 +90,45 @@
 	r.leaving = nil
 }
 
+// Checks of the row after the store has come back from an earlier copy.
+const (
+	// rowChecksPerSecond is the rate at which all daemons together check their rows. A
+	// check is a read and, if the copy lacks the row, a write; the platform's store
+	// takes a few hundred writes a second.
+	rowChecksPerSecond = 200
+
+	// minCheckSpread is the time over which the checks are spread at least.
+	minCheckSpread = time.Second
+
+	// recheckDelay is the delay of a second check. A call that was sent before the
+	// change, and got no answer, may be executed some seconds later, and its condition
+	// may hold again because versions are given out again.
+	recheckDelay = 8 * time.Second
+)
+
+// epochChanged schedules a check of the row, and returns the time until then. Nothing
+// counts as written before.
+func (r *rowWriter) epochChanged(now time.Duration, epoch uint64) time.Duration {
+	spread := max(minCheckSpread, time.Duration(len(*r.c.d.members.Load()))*time.Second/rowChecksPerSecond)
+	wait := time.Duration(r.c.rng.Int64N(int64(spread)))
+	r.epoch, r.epochSince, r.restoring = epoch, now, true
+	r.checkAgain()
+	r.nextRound = now + wait
+	return wait
+}
+
+// checkAgain makes the next round read the row and write it if it is not as it should be.
+func (r *rowWriter) checkAgain() {
+	r.versionKnown, r.written = false, nil
+	r.pending = withoutColdness(r.c.d.self())
+}
+
 // tick starts a round of calls to the store when one is due.
 func (r *rowWriter) tick(now time.Duration) {
+	if r.recheckAt != 0 && now >= r.recheckAt && !r.busy {
+		r.recheckAt = 0
+		r.checkAgain()
+	}
 	if r.busy || now < r.nextRound || (r.loaded && r.pending == nil) {
 		return
 	}
@@ -116,6 +160,7 @@
 	loaded       bool
 	err          error
 
+	wrote    bool // the row was written
 	outdated bool // the entry must be built anew from what was read, so nothing was written
 }
 
@@ -125,7 +170,11 @@
 func (r *rowWriter) round(ctx context.Context, e *membership.Entry, version uint64, versionKnown, loaded bool) rowResult {
 	res := rowResult{version: version, versionKnown: versionKnown, loaded: loaded}
 	if !versionKnown {
-		res.err = r.read(ctx, e.Peer, &res)
+		if loaded {
+			res.err = r.readOwn(ctx, e.Peer, &res)
+		} else {
+			res.err = r.read(ctx, e.Peer, &res)
+		}
 		if res.err != nil {
 			return res
 		}
@@ -134,9 +183,9 @@
 		r.c.post(func() { r.mergeRows(entries) })
 	}
 	for _, x := range res.entries {
-		if proto.Equal(x, e) {
+		if tellsTheSame(x, e) { // an earlier round has written it
 			res.loaded = true
-			return res // an earlier round has written it, and its answer was lost
+			return res
 		}
 		// Written over a row that tells of the backend server's leaving, an entry
 		// built before that was known would lose it if this daemon ended soon.
@@ -158,7 +207,7 @@
 		res.err, res.versionKnown = err, false
 		return res
 	}
-	res.version = v
+	res.version, res.wrote = v, true
 	if !loaded {
 		res.err = r.read(ctx, e.Peer, &res)
 		res.loaded = res.err == nil
@@ -180,12 +229,29 @@
 	return e, membership.Check(e)
 }
 
+// readOwn reads the row of this daemon.
+func (r *rowWriter) readOwn(ctx context.Context, self string, res *rowResult) error {
+	rows, err := r.c.d.store.Get(ctx, daemonTable, self)
+	if err != nil {
+		return err
+	}
+	r.take(rows, self, res)
+	return nil
+}
+
 // read reads all rows. It logs and skips rows that are not a valid daemon entry.
 func (r *rowWriter) read(ctx context.Context, self string, res *rowResult) error {
 	rows, err := r.c.d.store.Scan(ctx, daemonTable, "", maxDaemons)
 	if err != nil {
 		return err
 	}
+	r.take(rows, self, res)
+	return nil
+}
+
+// take stores the entries in rows, and the version of the row of this daemon. Rows that
+// are not a valid daemon entry are logged and skipped.
+func (r *rowWriter) take(rows []platform.Row, self string, res *rowResult) {
 	res.entries = nil
 	res.version = 0
 	for _, row := range rows {
@@ -200,7 +266,6 @@
 		}
 		res.entries = append(res.entries, e)
 	}
-	return nil
 }
 
 // finishRound handles the result of a round. It runs on the control goroutine.
@@ -222,10 +287,7 @@
 		r.nextRound = sinceBoot() + rowRetryDelay
 	}
 	if res.err == nil && !res.outdated {
-		r.written = wrote
-		if r.pending == wrote {
-			r.pending = nil
-		}
+		r.finishWrite(wrote, res)
 	}
 	wasLoaded := r.loaded
 	r.loaded = res.loaded
@@ -241,6 +303,27 @@
 	}
 }
 
+// finishWrite handles a round after which the row holds an entry.
+func (r *rowWriter) finishWrite(e *membership.Entry, res rowResult) {
+	if platform.Epoch(res.version) < r.epoch {
+		r.versionKnown = false // written before the store came back from an earlier copy
+		return
+	}
+	r.written = e
+	if r.pending == e {
+		r.pending = nil
+	}
+	if !r.restoring {
+		return
+	}
+	now := sinceBoot()
+	r.restoring, r.recheckAt = false, now+recheckDelay
+	if res.wrote {
+		r.c.d.metrics.rowsRewritten.Inc()
+	}
+	r.c.d.log.Info("row checked after the store came back", "epoch", r.epoch, "written", res.wrote, "took_ms", (now - r.epochSince).Milliseconds())
+}
+
 // mergeRows merges the entries of all daemons into the directory. It does not wait
 // until this daemon's own row is written: when all daemons start at once, the store
 // takes a while to process their writes.
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -103,7 +103,8 @@
 	// OperatorRows returns the operator's document and the evacuated data centres.
 	OperatorRows(ctx context.Context) (fleet.Reading, error)
 
-	// Scan and Commit behave as those of platform.Table.
+	// Get, Scan and Commit behave as those of platform.Table.
+	Get(ctx context.Context, table string, keys ...string) ([]platform.Row, error)
 	Scan(ctx context.Context, table, after string, limit int) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Tx) (uint64, error)
 }
