sidecar: a write of the row that may still be executed is fenced before the row counts as written

A row that already holds the entry is not written again. A write without an answer, on the same version, might have replaced it later; the row is written then, which ends that write's condition.

--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -59,7 +59,7 @@
 	c := &control{d: d, mailbox: make(chan func(), mailboxSize), local: membership.NewLocal(d.settings.Service), storeReachable: true, noticed: make(map[routing.Notice]bool), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	c.incarnation = time.Now().UnixMilli()
 	// The store has no row of this daemon when the deployment starts for the first time.
-	c.row = rowWriter{c: c, versionKnown: d.settings.FirstStart}
+	c.row = rowWriter{c: c, versionKnown: d.settings.FirstStart, unsettled: noneUnsettled}
 	self := c.entry()
 	d.selfEntry.Store(self)
 	c.fleet = fleet.New(self, c)
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -45,14 +46,16 @@
 	busy         bool              // a round is in progress
 	firstTick    time.Duration     // time of the first tick
 	nextRound    time.Duration     // earliest time of the next round
-	epoch        uint64            // epoch of the store in which the row must be
-	epochSince   time.Duration     // time at which that was learned
-	restoring    bool              // the row has not been confirmed in that epoch yet
-	recheckAt    time.Duration     // time of a further check of the row, 0 when none is due
-	confirming   bool              // the round in progress only follows a lost answer
-	leaving      chan struct{}     // closed when the store has confirmed that the backend server is leaving, nil when nobody waits for that
+	unsettled    uint64            // condition of the last write without an answer, which may still be executed
+	check        rowCheck
+	confirming   bool          // the round in progress only follows a lost answer
+	leaving      chan struct{} // closed when the store has confirmed that the backend server is leaving, nil when nobody waits for that
 }
 
+// noneUnsettled as rowWriter.unsettled means that no write may still be executed. No row
+// has this version.
+const noneUnsettled = math.MaxUint64
+
 // requestWrite schedules a write of e, unless e differs from the entry written last
 // only in its sequence number.
 func (r *rowWriter) requestWrite(e *membership.Entry) {
@@ -90,45 +93,9 @@
 	r.leaving = nil
 }
 
-// Checks of the row after the store has come back from an earlier copy.
-const (
-	// rowChecksPerSecond is the rate at which all daemons together check their rows. A
-	// check is a read and, if the copy lacks the row, a write; the platform's store
-	// takes a few hundred writes a second.
-	rowChecksPerSecond = 200
-
-	// minCheckSpread is the time over which the checks are spread at least.
-	minCheckSpread = time.Second
-
-	// recheckDelay is the delay of a second check. A call that was sent before the
-	// change, and got no answer, may be executed some seconds later, and its condition
-	// may hold again because versions are given out again.
-	recheckDelay = 8 * time.Second
-)
-
-// epochChanged schedules a check of the row, and returns the time until then. Nothing
-// counts as written before.
-func (r *rowWriter) epochChanged(now time.Duration, epoch uint64) time.Duration {
-	spread := max(minCheckSpread, time.Duration(len(*r.c.d.members.Load()))*time.Second/rowChecksPerSecond)
-	wait := time.Duration(r.c.rng.Int64N(int64(spread)))
-	r.epoch, r.epochSince, r.restoring = epoch, now, true
-	r.checkAgain()
-	r.nextRound = now + wait
-	return wait
-}
-
-// checkAgain makes the next round read the row and write it if it is not as it should be.
-func (r *rowWriter) checkAgain() {
-	r.versionKnown, r.written = false, nil
-	r.pending = withoutColdness(r.c.d.self())
-}
-
 // tick starts a round of calls to the store when one is due.
 func (r *rowWriter) tick(now time.Duration) {
-	if r.recheckAt != 0 && now >= r.recheckAt && !r.busy {
-		r.recheckAt = 0
-		r.checkAgain()
-	}
+	r.tickCheck(now)
 	if r.busy || now < r.nextRound || (r.loaded && r.pending == nil) {
 		return
 	}
@@ -139,25 +106,27 @@
 		return
 	}
 	r.busy = true
-	e, version, versionKnown, loaded := r.pending, r.version, r.versionKnown, r.loaded
+	e, from := r.pending, rowResult{version: r.version, versionKnown: r.versionKnown, loaded: r.loaded, unsettled: r.unsettled}
 	if e == nil {
 		e = r.c.d.self()
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(r.c.d.background, rowTimeout)
 		defer cancel()
-		res := rowResult{err: errPanicked, loaded: loaded}
-		r.c.d.protect("round of the row", func() { res = r.round(ctx, clone(e), version, versionKnown, loaded) })
+		res := rowResult{err: errPanicked, loaded: from.loaded, unsettled: from.unsettled}
+		r.c.d.protect("round of the row", func() { res = r.round(ctx, clone(e), from) })
 		r.c.post(func() { r.finishRound(e, res) })
 	}()
 }
 
-// rowResult is the result of one round of calls to the store.
+// rowResult is what is known about the row before and after one round of calls to the
+// store.
 type rowResult struct {
 	entries      []*membership.Entry // entries of the rows that were read
 	version      uint64
 	versionKnown bool
 	loaded       bool
+	unsettled    uint64
 	err          error
 
 	wrote    bool // the row was written
@@ -166,10 +135,12 @@
 
 // round writes the row on the condition that its version has not changed. A write
 // whose answer was lost and that is executed late therefore cannot overwrite a newer
-// one. Afterwards it reads all rows unless that has been done before.
-func (r *rowWriter) round(ctx context.Context, e *membership.Entry, version uint64, versionKnown, loaded bool) rowResult {
-	res := rowResult{version: version, versionKnown: versionKnown, loaded: loaded}
-	if !versionKnown {
+// one. Afterwards it reads all rows unless that has been done before. A row that holds
+// the entry already is not written, unless a write that may still be executed would
+// replace it.
+func (r *rowWriter) round(ctx context.Context, e *membership.Entry, res rowResult) rowResult {
+	loaded := res.loaded
+	if !res.versionKnown {
 		if loaded {
 			res.err = r.readOwn(ctx, e.Peer, &res)
 		} else {
@@ -183,7 +154,7 @@
 		r.c.post(func() { r.mergeRows(entries) })
 	}
 	for _, x := range res.entries {
-		if tellsTheSame(x, e) { // an earlier round has written it
+		if tellsTheSame(x, e) && res.version != res.unsettled { // an earlier round has written it
 			res.loaded = true
 			return res
 		}
@@ -203,11 +174,15 @@
 		Conditions: []platform.Condition{{Table: daemonTable, Key: e.Peer, Version: res.version}},
 		Writes:     []platform.Write{{Table: daemonTable, Key: e.Peer, Value: value}},
 	})
+	var lost *platform.AmbiguousError
+	if errors.As(err, &lost) {
+		res.unsettled = res.version
+	}
 	if err != nil {
 		res.err, res.versionKnown = err, false
 		return res
 	}
-	res.version, res.wrote = v, true
+	res.version, res.wrote, res.unsettled = v, true, noneUnsettled
 	if !loaded {
 		res.err = r.read(ctx, e.Peer, &res)
 		res.loaded = res.err == nil
@@ -271,7 +246,7 @@
 // finishRound handles the result of a round. It runs on the control goroutine.
 func (r *rowWriter) finishRound(wrote *membership.Entry, res rowResult) {
 	r.busy = false
-	r.version, r.versionKnown = res.version, res.versionKnown
+	r.version, r.versionKnown, r.unsettled = res.version, res.versionKnown, res.unsettled
 	var conflict *platform.ConflictError
 	if !errors.As(res.err, &conflict) {
 		r.c.storeAnswered("rows", res.err)
@@ -305,7 +280,7 @@
 
 // finishWrite handles a round after which the row holds an entry.
 func (r *rowWriter) finishWrite(e *membership.Entry, res rowResult) {
-	if platform.Epoch(res.version) < r.epoch {
+	if platform.Epoch(res.version) < r.check.epoch {
 		r.versionKnown = false // written before the store came back from an earlier copy
 		return
 	}
@@ -313,15 +288,7 @@
 	if r.pending == e {
 		r.pending = nil
 	}
-	if !r.restoring {
-		return
-	}
-	now := sinceBoot()
-	r.restoring, r.recheckAt = false, now+recheckDelay
-	if res.wrote {
-		r.c.d.metrics.rowsRewritten.Inc()
-	}
-	r.c.d.log.Info("row checked after the store came back", "epoch", r.epoch, "written", res.wrote, "took_ms", (now - r.epochSince).Milliseconds())
+	r.finishCheck(res.wrote)
 }
 
 // mergeRows merges the entries of all daemons into the directory. It does not wait
