standin soak: daemons as processes under seeded faults

One command starts daemons, stand-ins and callers, plays a schedule of thirteen kinds of faults and checks from what callers and backend servers saw: at most once, true refusals, whole answers, drains, withdrawn keys, processes that end by themselves, service back after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= kurume
 TRY_FOR   ?= 10s
 
-.PHONY: try test format lint build unit bench capacity fuzz generate ci
+.PHONY: soak try test format lint build unit bench capacity fuzz generate ci
 
 # try sets up a whole deployment in one process, runs the main job and prints a summary.
 try: build
@@ -42,6 +42,14 @@
 capacity:
 	$(GO) run ./bench/cmd/capacity
 
+# soak runs daemons as processes, injects faults and checks what callers and backend
+# servers see. KINDS restricts the faults; standin soak --help lists them.
+SEED  ?= 1
+FOR   ?= 60s
+KINDS ?=
+soak: build
+	bin/standin soak --seed $(SEED) --for $(FOR) --kinds "$(KINDS)"
+
 fuzz:
 	./.ci/fuzz
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -16,9 +17,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), backendCommand(), callerCommand())
+	root.AddCommand(platformCommand(), backendCommand(), callerCommand(), soakCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
+		if errors.Is(err, errSoakTooSlow) {
+			os.Exit(exitTooSlow)
+		}
 		os.Exit(1)
 	}
 }
