instance: a stop does not end in a pause of its callers

Callers saw: connections refused right after the stop began, where requests are served for 2.5 s and then refused with Retry-After.

Cause: the stop ended at the first look that found no request in progress; callers that send one after the other pause together on a busy machine.

Change: the stop goes on until no request that is served has begun for 0.2 s.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -59,6 +59,7 @@
 	if err := e.d.refuseWhileStopping(); err != nil {
 		return nil, err
 	}
+	e.d.served.Add(1)
 	if err := e.identify(); err != nil {
 		return nil, err
 	}
--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -95,6 +95,7 @@
 	stopTimes atomic.Pointer[stopTimes] // nil while no shutdown is in progress
 	announced atomic.Bool
 	inFlight  atomic.Int64 // outside requests in progress, including their streaming answers
+	served    atomic.Int64 // outside requests that were not refused because of a shutdown
 
 	traffic          context.Context // cancelled to cut off the calls in flight
 	cancelTraffic    context.CancelFunc
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -15,6 +15,7 @@
 	finalAnswerMargin  = 200 * time.Millisecond  // between the deadline of a request taken during a shutdown and its time limit
 	stopRetryAfter     = time.Second             // Retry-After of requests refused during a shutdown
 	idlePollInterval   = 20 * time.Millisecond
+	quietPeriod        = 200 * time.Millisecond // time without an outside request that is served after which callers are taken to have stopped
 	serverCloseTimeout = 5 * time.Second
 	leaveTimeout       = 5 * time.Second
 )
@@ -72,12 +73,12 @@
 	d.gate.Drain()
 	d.links.RefuseStreams()
 	d.settle(ctx, shutdownNotice)
-	cut := d.awaitIdle(ctx)
+	cut := d.awaitIdle(ctx, quietPeriod)
 	if cut == nil {
 		times := *d.stopTimes.Load()
 		times.refuseFrom = d.now() // the servers close next
 		d.stopTimes.Store(&times)
-		cut = d.awaitIdle(ctx)
+		cut = d.awaitIdle(ctx, 0)
 	}
 	d.closeServers(ctx)
 	d.leave(ctx)
@@ -97,18 +98,27 @@
 	}
 }
 
-// awaitIdle waits until no call runs on the backend server and no outside
-// request is in progress.
-func (d *Daemon) awaitIdle(ctx context.Context) error {
+// awaitIdle waits until no call runs on the backend server and no outside request is in
+// progress, and none that is served has begun for the time quiet. Callers that send one
+// request after the other leave gaps in which none is in progress.
+func (d *Daemon) awaitIdle(ctx context.Context, quiet time.Duration) error {
 	t := time.NewTicker(idlePollInterval)
 	defer t.Stop()
+	lastBusy, seen := d.now(), d.served.Load()
 	for {
 		n := d.calls.n.Load() + d.inFlight.Load()
-		if n == 0 {
+		now := d.now()
+		if served := d.served.Load(); served != seen {
+			lastBusy, seen = now, served
+		}
+		if n == 0 && now.Sub(lastBusy) >= quiet {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
+			if n == 0 {
+				return nil
+			}
 			d.cancelTraffic()
 			return eris.Errorf("%d calls in flight were cut off: allow more time in limits.shutdown", n)
 		case <-t.C:
