--- a/sidecar/epoch_test.go
+++ b/sidecar/epoch_test.go
@@ -41,6 +41,10 @@
 func TestRowsThatACopyLacksAreWrittenAgain(t *testing.T) {
 	d := deploy(t, archive(), archive(), ledger())
 	n := d.nodes[0]
+	for _, m := range d.nodes {
+		require.Eventually(t, func() bool { return d.stateInStore(m) == membership.Ready }, 5*time.Second, 10*time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond) // no daemon has anything left to write that the copy would lack
 	before := d.store.Copy()
 	require.True(t, n.backend.Deregister())
 	late := d.add(3, ledger())
