membership: a deregistration without a start time is not undone by a late heartbeat

Cause: after a restart of the daemon the first thing that it heard was the deregistration, which gives no start time; a late heartbeat with a start time looked like a new incarnation.

Change: the time of such a deregistration bounds the start time of what left; the start time in the previous row is taken over for the same id; what nothing orders is not acknowledged, and a leaving is not replaced by another writer.

Before: TestNoOrderOfEventsUndoesAnAcknowledgedLeaving with deregistrations without a start time, and TestNextLifeUnderTheSameIDIsNotTakenForTheOneThatLeft, failed. Both pass (all orders of six of eleven events).

--- a/membership/local.go
+++ b/membership/local.go
@@ -6,6 +6,7 @@
 type Heartbeat struct {
 	ID       string
 	StartMs  int64  // start time of the incarnation, Unix ms; 0 if not given
+	Received int64  // time at which the daemon received it, Unix ms
 	Sequence uint64 // orders the calls of one incarnation; 0 on a deregistration without one
 	State    State
 	Service  string // empty on a deregistration
@@ -23,10 +24,13 @@
 	service       string
 	id            string
 	startMs       int64
+	startsGiven   bool  // heartbeats here give their start time, as far as known
+	leftAt        int64 // when an incarnation left that had not given its start time, Unix ms; it started before
 	sequence      uint64
 	state         State
 	slots         int
 	accepted      uint64 // number of heartbeats and deregistrations accepted
+	former        *Entry // entry of a previous daemon, nil while none is known
 	heartbeatSeen bool   // the state comes from a heartbeat or deregistration, not just from a probe or a stored entry
 }
 
@@ -60,12 +64,12 @@
 	if h.StartMs != 0 && h.StartMs < l.startMs {
 		return false, false
 	}
-	if h.State != Gone && h.StartMs == 0 && l.startMs != 0 {
+	if h.State != Gone && h.StartMs == 0 && l.startsGiven {
 		return false, false // of another writer: backend servers here give their start time in every heartbeat
 	}
-	otherIncarnation := h.ID != l.id || h.StartMs > l.startMs && (l.startMs != 0 || l.heartbeatSeen)
-	if h.State == Gone && otherIncarnation && l.id != "" && h.StartMs <= l.startMs {
-		return false, false // deregistration of an earlier incarnation
+	otherIncarnation := h.ID != l.id || h.StartMs > max(l.startMs, l.leftAt) && (l.startMs != 0 || l.leftAt != 0 || l.heartbeatSeen)
+	if h.State == Gone && otherIncarnation && h.StartMs <= l.startMs && (l.startMs != 0 || l.state >= Draining) {
+		return false, false // deregistration of an earlier incarnation, or by another writer
 	}
 	if !otherIncarnation {
 		if l.heartbeatSeen && h.Sequence != 0 && h.Sequence <= l.sequence && !l.leavesNow(h) {
@@ -94,14 +98,29 @@
 // for which it does not hold must not be acknowledged: the backend server relies on
 // the acknowledgement when it leaves.
 func (l *Local) Reflects(h Heartbeat) bool {
-	return h.State < Draining || h.ID != l.id || l.state >= h.State
+	if h.State < Draining {
+		return true
+	}
+	if h.ID != l.id {
+		return l.startMs != 0 // of an earlier incarnation; without start times nothing tells which is the later one
+	}
+	return l.state >= h.State
 }
 
 // apply stores the values of an accepted heartbeat or deregistration.
 func (l *Local) apply(h Heartbeat, otherIncarnation bool) {
 	l.id, l.state, l.heartbeatSeen = h.ID, h.State, true
 	if h.StartMs != 0 {
-		l.startMs = h.StartMs
+		l.startMs, l.startsGiven = h.StartMs, true
+	}
+	switch {
+	case h.State >= Draining && l.startMs == 0:
+		l.leftAt = h.Received
+		if l.former != nil && l.former.Backend == h.ID {
+			l.startMs = l.former.Born
+		}
+	case otherIncarnation:
+		l.leftAt = 0
 	}
 	if otherIncarnation || h.Sequence != 0 {
 		l.sequence = h.Sequence
@@ -141,20 +160,29 @@
 	if l.id == "" {
 		l.slots = int(e.Slots)
 	}
+	l.startsGiven = l.startsGiven || e.Born != 0
+	if l.startMs == 0 && l.id == e.Backend && l.state >= Draining {
+		l.startMs = e.Born // given to an earlier process, and not when it left
+	}
+	l.former = e
 	state := State(e.State)
 	if state != Draining && state != Gone || l.id == e.Backend && state <= l.state || !l.isCovered(e) {
 		return false
 	}
-	l.id, l.startMs, l.state = e.Backend, e.Born, state
+	if l.id != e.Backend || e.Born != 0 {
+		l.startMs = e.Born
+	}
+	l.id, l.state, l.leftAt = e.Backend, state, 0
+	if l.startMs == 0 {
+		l.leftAt = e.Incarnation // it had started before that daemon
+	}
 	return true
 }
 
-// isCovered reports whether an entry is about the known backend server, or about one
-// with a start time while that of the known one was not given. The latter may come from
-// another writer; if it is a successor, its next heartbeat proves that.
+// isCovered reports whether an entry is about the known backend server, or about one that
+// may be a later one than that, because the start time of the known one was not given. The
+// latter may come from another writer; if it is a successor, its next heartbeat proves that.
 func (l *Local) isCovered(e *Entry) bool {
-	if l.startMs == 0 && e.Born != 0 {
-		return true
-	}
-	return l.id == "" || l.id == e.Backend && l.startMs == e.Born
+	sameLife := l.startMs == e.Born || e.Born == 0 && l.startMs <= e.Incarnation
+	return l.startMs == 0 || l.id == e.Backend && sameLife
 }
--- a/membership/promise_test.go
+++ b/membership/promise_test.go
@@ -17,7 +17,14 @@
 	acknowledged bool // the leaving was acknowledged
 }
 
-const modelStart = 1000 // start time of the backend server, Unix ms
+// Times of the model in Unix ms. The daemon process that hears of the leaving starts after
+// the backend server.
+const (
+	modelStart   = 1000 // of the backend server
+	modelProcess = 2000 // of the daemon
+	modelLeaving = 3000 // at which reports are received
+	modelNext    = 4000 // of the next life of the backend server
+)
 
 // leavingEvents are the events of the model. A process acknowledges a leaving after it
 // has written its row.
@@ -28,7 +35,8 @@
 	"draining report": func(m *leavingModel) {
 		m.hear(Heartbeat{ID: "i-1", StartMs: modelStart, Sequence: 2, State: Draining, Service: "s"})
 	},
-	"deregistration": func(m *leavingModel) { m.hear(Heartbeat{ID: "i-1", StartMs: modelStart, State: Gone}) },
+	"deregistration":                      func(m *leavingModel) { m.hear(Heartbeat{ID: "i-1", StartMs: modelStart, State: Gone}) },
+	"deregistration without a start time": func(m *leavingModel) { m.hear(Heartbeat{ID: "i-1", State: Gone}) },
 	"report of another writer": func(m *leavingModel) {
 		m.hear(Heartbeat{ID: "i-9", Sequence: 99, State: Ready, Service: "s"})
 	},
@@ -52,11 +60,12 @@
 }
 
 func (m *leavingModel) hear(h Heartbeat) {
+	h.Received = modelLeaving
 	m.local.HandleHeartbeat(h)
 	if !m.rowRead {
 		return // no row is written before the one of the previous process is known
 	}
-	m.row = &Entry{Service: "s", Backend: m.local.ID(), Born: m.local.StartMs(), State: uint32(m.local.State())}
+	m.row = &Entry{Service: "s", Incarnation: modelProcess, Backend: m.local.ID(), Born: m.local.StartMs(), State: uint32(m.local.State())}
 	if h.ID == "i-1" && h.State >= Draining && m.local.Reflects(h) {
 		m.acknowledged = true
 	}
@@ -81,6 +90,7 @@
 			return
 		}
 		m := &leavingModel{local: NewLocal("s"), rowRead: true}
+		m.hear(Heartbeat{ID: "i-1", StartMs: modelStart, State: Ready, Service: "s"}) // before it leaves
 		played++
 		for i, name := range order {
 			leavingEvents[name](m)
@@ -96,3 +106,21 @@
 	t.Log(fmt.Sprint(played, " orders, ", acknowledged, " with an acknowledgement"))
 	require.Positive(t, acknowledged)
 }
+
+// Failure: a backend server that starts again under the id of one that left stays shut
+// out, because the one that left had not given its start time.
+func TestNextLifeUnderTheSameIDIsNotTakenForTheOneThatLeft(t *testing.T) {
+	next := Heartbeat{ID: "i-1", StartMs: modelNext, Received: modelNext + 1, Sequence: 1, State: Ready, Service: "s"}
+	l := NewLocal("s")
+	l.HandleHeartbeat(Heartbeat{ID: "i-1", Received: modelLeaving, State: Gone})
+	require.Equal(t, Gone, l.State())
+	l.HandleHeartbeat(next)
+	require.Equal(t, Ready, l.State())
+
+	restarted := NewLocal("s")
+	require.True(t, restarted.Restore(&Entry{Service: "s", Incarnation: modelProcess, Backend: "i-1", State: uint32(Gone)}))
+	restarted.HandleHeartbeat(Heartbeat{ID: "i-1", StartMs: modelStart, Received: modelNext, Sequence: 9, State: Ready, Service: "s"})
+	require.Equal(t, Gone, restarted.State(), "late")
+	restarted.HandleHeartbeat(next)
+	require.Equal(t, Ready, restarted.State())
+}
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -32,6 +32,7 @@
 		hc.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
 		return
 	}
+	h.Received = time.Now().UnixMilli()
 	deadline := time.NewTimer(leavingStoreWait)
 	defer deadline.Stop()
 	taken, stored := false, (<-chan struct{})(nil)
