--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -21,9 +21,9 @@
 	"wisteriafold/response"
 )
 
-// Config configures the HTTP connections to one backend server.
+// Config configures the HTTP connections to one server.
 type Config struct {
-	Address        string        // host:port of the backend server
+	Address        string        // host:port of the server
 	MaxConnections int           // maximum number of open connections, including idle ones; DoRaw with a MaxIdle may exceed it
 	DialTimeout    time.Duration // time limit for opening one connection
 	IdleTimeout    time.Duration // a connection that has been idle for longer is closed instead of reused
@@ -58,9 +58,9 @@
 	connBuffer = 4 << 10 // bytes, for each direction
 )
 
-// Client sends calls to one backend server over keep-alive connections. It is
+// Client sends calls to one server over keep-alive connections. It is
 // safe for concurrent use. Cancelling a call closes its connection, because
-// HTTP/1.1 has no other way to signal the cancellation to the backend server.
+// HTTP/1.1 has no other way to signal the cancellation to the server.
 type Client struct {
 	cfg   Config
 	slots chan struct{} // semaphore: one element for each connection in use
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -247,7 +247,11 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	if state == "gone" {
-		return report{"Instances.Deregister/" + s.id, map[string]any{"sequence": s.sequence, "born": s.born}, s.life}
+		body := map[string]any{"sequence": s.sequence, "born": s.born}
+		if s.rng.IntN(2) == 0 {
+			body = map[string]any{} // a deregistration need not say more than its id
+		}
+		return report{"Instances.Deregister/" + s.id, body, s.life}
 	}
 	return report{"Instances.Heartbeat/" + s.id, map[string]any{
 		"service": s.service, "address": s.ln.Addr().String(), "zone": "z", "version": "v1", "slots": slots,
