review: case 11, sound callers are cut when long answers become ready together

A daemon of 284 MB breaks off 12 to 18 of 72 answers of 6 MB to callers that read without a stop, all of requests that may not be repeated and have run.

--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -15,7 +17,8 @@
 // cases maps the number of a case to the function that plays it. It returns the number of
 // requests for which the rule was broken.
 var cases = map[string]func(w *world, r *recorder, trouble bool) (int, error){
-	"11": closeWithUnreadRequests,
+	"11": answerManyAtOnce,
+	"13": closeWithUnreadRequests,
 }
 
 func main() {
@@ -39,6 +42,7 @@
 		return exitFailed
 	}
 	defer w.close()
+	endOnSignal(w)
 	broken, err := cases[name](w, r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -51,3 +55,14 @@
 	r.line("HELD")
 	return exitHeld
 }
+
+// endOnSignal ends the processes of w when this one is asked to end.
+func endOnSignal(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(exitFailed)
+	}()
+}
--- a/review/lab-3/world.go
+++ b/review/lab-3/world.go
@@ -34,6 +34,7 @@
 	nodes   []*node
 	port    int
 	start   time.Time
+	memory  int // MB of a daemon
 
 	mu   sync.Mutex
 	runs map[string][]execution // by request
@@ -63,7 +64,7 @@
 		return nil, err
 	}
 	return &world{
-		dir: dir, program: program, store: rowstore.New(), start: time.Now(),
+		dir: dir, program: program, store: rowstore.New(), start: time.Now(), memory: 284,
 		port: firstPort + os.Getpid()%64*100, runs: make(map[string][]execution),
 	}, nil
 }
@@ -102,11 +103,11 @@
 		return err
 	}
 	n.settings = filepath.Join(w.dir, n.name+".yaml")
-	text := fmt.Sprintf(`self: {node: %s, role: daemon, machineClass: sidecar, serves: [sidecar], ip: 127.0.0.1, zone: %s, region: %s, lossCounts: false, bootstrap: false, appAddr: "%s", service: %s, limits: {cpuShare: 0.64, cpuCores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}}
+	text := fmt.Sprintf(`self: {node: %s, role: daemon, machineClass: sidecar, serves: [sidecar], ip: 127.0.0.1, zone: %s, region: %s, lossCounts: false, bootstrap: false, appAddr: "%s", service: %s, limits: {cpuShare: 0.64, cpuCores: 1, memoryMb: %d, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}}
 network: {listen: {outbound: "%s", ready: "%s", control: "%s", inbound: "%s"}, internalPorts: [%d, %d], seeds: [], zones: {fuk-a: fukuoka, kum-a: kumamoto}}
 platform: {discovery: static, entry: static, heartbeatMs: 1500, platform: {address: "%s", form: table}}
 terms: {bounds: {stableMs: 3000, drainMs: 2500, graceS: %d, lossSlackMs: 200, configApplyMs: 2500, revokeStrict: true, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 48}}
-`, n.name, dataCentre, region, n.server.address(), service, n.outbound, n.ready, n.control, address(p[3]), p[4], p[5], w.store.Address(), graceSeconds)
+`, n.name, dataCentre, region, n.server.address(), service, w.memory, n.outbound, n.ready, n.control, address(p[3]), p[4], p[5], w.store.Address(), graceSeconds)
 	w.nodes = append(w.nodes, n)
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
@@ -196,7 +197,8 @@
 // configure writes the configuration as the operator does.
 func (w *world) configure() {
 	const text = `{"version":"r1","routes":[
-{"name":"record-view","host":"h.example","pathPrefix":"/records/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":1500,"priority":2,"service":"archive","maxAttempts":2,"public":false},
+{"name":"record-view","host":"h.example","pathPrefix":"/records/","kind":"idempotent","timeoutMs":8000,"targetLatencyMs":1500,"priority":2,"service":"archive","maxAttempts":2,"public":false},
+{"name":"commission","host":"h.example","pathPrefix":"/commissions/","kind":"non_idempotent","timeoutMs":8000,"targetLatencyMs":2000,"priority":0,"service":"archive","maxAttempts":2,"public":false},
 {"name":"photo-upload","host":"h.example","pathPrefix":"/photos/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":1500,"priority":2,"service":"intake","maxAttempts":2,"public":false}],
 "services":[{"name":"archive","healthPath":"/health","maxConnections":424,"protocol":"h1","tls":false},{"name":"intake","healthPath":"/health","maxConnections":424,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
