--- a/review/lab-3/world.go
+++ b/review/lab-3/world.go
@@ -24,6 +24,9 @@
 	readyTimeout = 20 * time.Second
 	readyPoll    = 100 * time.Millisecond
 	graceSeconds = 6 // from SIGTERM to SIGKILL
+
+	// settleTime is longer than stableMs (3 s): from then on the daemons are in touch.
+	settleTime = 4 * time.Second
 )
 
 // world is a small deployment with its record of runs.
@@ -152,7 +155,7 @@
 			time.Sleep(readyPoll)
 		}
 	}
-	time.Sleep(time.Second) // all daemons know all backend servers
+	time.Sleep(settleTime)
 	return nil
 }
 
